--- /dev/null
+++ b/apps/ctl/config_commands.cpp
@@ -0,0 +1,191 @@
+#include "apps/command_line.h"
+#include "apps/ctl/control_session.h"
+#include "config/config_journal.h"
+
+#include <boost/uuid/random_generator.hpp>
+#include <boost/uuid/uuid_io.hpp>
+
+#include <sstream>
+
+namespace almond::ctl {
+
+using apps::exit_status;
+using config::submit_result;
+using config::submit_status;
+using kernel::task;
+
+namespace {
+
+constexpr int indent = 2;
+
+json describe(const submit_result &result, const std::string &submission)
+{
+    json found = json::array();
+    for (const settings::finding &item : result.findings)
+        found.push_back({{"place", item.place}, {"message", item.message}});
+    return {{"newest", result.newest},
+            {"submission", submission},
+            {"findings", found},
+            {"winner", result.winner}};
+}
+
+int reportStale(const control_session &session, std::uint64_t base, const submit_result &result, json details)
+{
+    std::string text = "refused: the patch is against version " + std::to_string(base) + ", the newest is "
+        + std::to_string(result.newest);
+    if (!result.winner.empty())
+        text += "; version " + std::to_string(base + 1) + " was written by " + result.winner;
+    details["status"] = "stale";
+    details["base"] = base;
+    return fail(session, exit_status::refused, text, details);
+}
+
+int report(const control_session &session, std::uint64_t base, const submit_result &result,
+           const std::string &submission)
+{
+    json details = describe(result, submission);
+    switch (result.status) {
+    case submit_status::accepted:
+        details["status"] = "accepted";
+        details["version"] = base + 1;
+        print(session, details, "version " + std::to_string(base + 1) + " accepted\n");
+        return exit_status::succeeded;
+    case submit_status::stale:
+        return reportStale(session, base, result, details);
+    case submit_status::invalid: {
+        std::ostringstream text;
+        settings::print(text, result.findings);
+        details["status"] = "invalid";
+        return fail(session, exit_status::badInput, text.str() + "nothing was changed", details);
+    }
+    case submit_status::unknown:
+        break;
+    }
+    details["status"] = "unknown";
+    return fail(session, exit_status::unknownOutcome,
+                "unknown: the store did not answer; ask again with --base " + std::to_string(base)
+                    + " --submission " + submission,
+                details);
+}
+
+task<std::optional<config::config_view>> currentView(control_session &session)
+{
+    const store::journal_contents contents = co_await store::loadJournal(session.store, config::journalName);
+    if (contents.status == store::store_status::unavailable)
+        co_return std::nullopt;
+    co_return config::viewOf(contents);
+}
+
+int unavailable(const control_session &session)
+{
+    return fail(session, exit_status::failed, "the platform's store does not answer");
+}
+
+task<int> show(control_session &session)
+{
+    const auto view = co_await currentView(session);
+    if (!view)
+        co_return unavailable(session);
+    print(session, {{"version", view->version}, {"document", view->document}},
+          "version " + std::to_string(view->version) + "\n" + view->document.dump(indent) + "\n");
+    co_return exit_status::succeeded;
+}
+
+task<int> versions(control_session &session)
+{
+    const store::journal_contents contents = co_await store::loadJournal(session.store, config::journalName);
+    if (contents.status == store::store_status::unavailable)
+        co_return unavailable(session);
+    json listed = json::array();
+    std::string text;
+    for (const store::journal_entry &entry : contents.entries) {
+        const config::config_change change = config::changeOf(entry);
+        listed.push_back({{"version", change.version},
+                          {"author", change.author},
+                          {"submittedAtMs", kernel::toMillis(change.submittedAt)},
+                          {"patch", change.patch}});
+        text += std::to_string(change.version) + "\t" + change.author + "\t" + change.patch.dump() + "\n";
+    }
+    print(session, {{"versions", listed}, {"snapshot", contents.snapshotIndex}}, text);
+    co_return exit_status::succeeded;
+}
+
+int readPatch(const control_session &session, json &patch)
+{
+    settings::findings found;
+    patch = settings::readFile(session.options.file, found);
+    if (found.empty())
+        return -1;
+    std::ostringstream text;
+    settings::print(text, found);
+    return fail(session, exit_status::badInput, text.str() + "nothing was changed");
+}
+
+//! Shows what a patch would change, and what is wrong with it, without submitting it.
+task<int> diff(control_session &session)
+{
+    json patch;
+    const int wrong = readPatch(session, patch);
+    if (wrong >= 0)
+        co_return wrong;
+    const auto view = co_await currentView(session);
+    if (!view)
+        co_return unavailable(session);
+    settings::findings found;
+    const json after = config::applyPatch(view->document, patch, found);
+    const json changes = json::diff(view->document, after);
+    std::ostringstream text;
+    for (const json &change : changes)
+        text << change.dump() << '\n';
+    settings::print(text, found);
+    print(session, {{"version", view->version}, {"changes", changes}, {"findings", found.size()}},
+          text.str());
+    co_return found.empty() ? exit_status::succeeded : exit_status::badInput;
+}
+
+task<int> patchFromFile(control_session &session)
+{
+    json patch;
+    const int wrong = readPatch(session, patch);
+    if (wrong >= 0)
+        co_return wrong;
+    co_return co_await submitAndReport(session, std::move(patch));
+}
+
+} // namespace
+
+task<int> submitAndReport(control_session &session, json patch)
+{
+    std::uint64_t base = session.options.base.value_or(0);
+    if (!session.options.base) {
+        const auto view = co_await currentView(session);
+        if (!view)
+            co_return unavailable(session);
+        base = view->version;
+    }
+    config::submission change;
+    change.base = base;
+    change.patch = std::move(patch);
+    change.author = session.options.author;
+    change.id = session.options.submission;
+    if (change.id.empty())
+        change.id = to_string(boost::uuids::random_generator()());
+    const submit_result result = co_await config::submitPatch(session.store, change, kernel::systemNow());
+    co_return report(session, base, result, change.id);
+}
+
+task<int> runConfigCommand(control_session &session)
+{
+    const std::string verb = session.word(1);
+    if (verb == "show")
+        co_return co_await show(session);
+    if (verb == "versions")
+        co_return co_await versions(session);
+    if (verb == "patch")
+        co_return co_await patchFromFile(session);
+    if (verb == "diff")
+        co_return co_await diff(session);
+    co_return fail(session, exit_status::badInput, "config: use show, versions, patch or diff");
+}
+
+} // namespace almond::ctl
--- /dev/null
+++ b/apps/ctl/main.cpp
@@ -0,0 +1,137 @@
+#include "apps/command_line.h"
+#include "apps/ctl/control_session.h"
+#include "kernel/process.h"
+#include "settings/process_settings.h"
+
+#include <sstream>
+
+namespace {
+
+using namespace almond;
+
+constexpr kernel::milliseconds storeTimeout {2000};
+
+constexpr const char *description
+    = "almondctl, the operators' command.\n"
+      "COMMAND: config show|versions|patch|diff, failure-domain list|withdraw NAME|return NAME, "
+      "job submit|list|show ID|cancel ID..., dump IP:PORT, check gateway|scheduler.\n"
+      "Exit status: 0 done, 1 failed, 2 bad input, 3 refused, 4 unknown: ask again.";
+
+std::vector<std::string> splitList(const std::string &text)
+{
+    std::vector<std::string> items;
+    std::istringstream stream(text);
+    for (std::string item; std::getline(stream, item, ',');)
+        items.push_back(item);
+    return items;
+}
+
+//! Fills what the command line left open from the settings file.
+int applySettings(const std::string &file, ctl::control_options &options)
+{
+    if (file.empty())
+        return -1;
+    settings::control_settings read;
+    const int status
+        = apps::loadSettings(apps::daemon_options {file, false, false}, settings::readControlSettings, read);
+    if (status >= 0)
+        return status;
+    if (options.storeAddress.empty())
+        options.storeAddress = read.storeAddress;
+    if (options.schedulers.empty())
+        options.schedulers = read.schedulers;
+    if (options.author.empty())
+        options.author = read.author;
+    return -1;
+}
+
+int parse(int argc, char **argv, ctl::control_options &options)
+{
+    TCLAP::CmdLine command(description, ' ', ALMOND_VERSION);
+    TCLAP::ValueArg<std::string> file("s", "settings", "settings file, JSON with comments", false, "", "FILE",
+                                      command);
+    TCLAP::ValueArg<std::string> store("", "store", "the platform's store", false, "", "IP:PORT", command);
+    TCLAP::ValueArg<std::string> schedulers("", "schedulers", "peer addresses of schedulers", false, "",
+                                            "IP:PORT,...", command);
+    TCLAP::ValueArg<std::string> author("", "author", "who submits", false, "", "NAME", command);
+    TCLAP::ValueArg<std::string> input("f", "file", "patch or jobs, JSON with comments", false, "", "FILE",
+                                       command);
+    TCLAP::ValueArg<std::int64_t> base("b", "base", "version that the patch is against", false, -1, "N",
+                                       command);
+    TCLAP::ValueArg<std::string> submission("", "submission", "submission to ask about again", false, "",
+                                            "ID", command);
+    TCLAP::ValueArg<std::string> phase("", "phase", "only jobs in this phase", false, "", "PHASE", command);
+    TCLAP::SwitchArg asJson("j", "json", "print one JSON object", command);
+    TCLAP::UnlabeledMultiArg<std::string> words("command", "what to do", true, "COMMAND", command);
+    try {
+        command.setExceptionHandling(false);
+        command.parse(argc, argv);
+    } catch (const TCLAP::ExitException &exit) {
+        return exit.getExitStatus();
+    } catch (const TCLAP::ArgException &error) {
+        std::cerr << error.argId() << ": " << error.error() << '\n';
+        return apps::badInput;
+    }
+    options.words = words.getValue();
+    options.storeAddress = store.getValue();
+    options.schedulers = splitList(schedulers.getValue());
+    options.author = author.getValue();
+    options.file = input.getValue();
+    options.submission = submission.getValue();
+    options.phase = phase.getValue();
+    options.asJson = asJson.getValue();
+    if (base.getValue() >= 0)
+        options.base = static_cast<std::uint64_t>(base.getValue());
+    return applySettings(file.getValue(), options);
+}
+
+int checkSettings(const ctl::control_options &options)
+{
+    const std::string role = options.words.size() > 1 ? options.words[1] : "";
+    const apps::daemon_options asked {options.file, true, false};
+    settings::gateway_settings gateway;
+    settings::scheduler_settings scheduler;
+    if (role == "gateway")
+        return apps::loadSettings(asked, settings::readGatewaySettings, gateway);
+    if (role == "scheduler")
+        return apps::loadSettings(asked, settings::readSchedulerSettings, scheduler);
+    std::cerr << "check: use gateway or scheduler, and --file FILE\n";
+    return apps::badInput;
+}
+
+kernel::task<int> dispatch(ctl::control_session &session)
+{
+    const std::string noun = session.word(0);
+    if (noun == "config")
+        co_return co_await ctl::runConfigCommand(session);
+    if (noun == "failure-domain")
+        co_return co_await ctl::runDomainCommand(session);
+    if (noun == "job")
+        co_return co_await ctl::runJobCommand(session);
+    if (noun == "dump")
+        co_return co_await ctl::runDumpCommand(session);
+    co_return ctl::fail(session, apps::badInput,
+                        "unknown command: " + noun + "; use config, failure-domain, job, dump or check");
+}
+
+} // namespace
+
+//! almondctl: submits patches and jobs and shows the state of the system.
+int main(int argc, char **argv)
+{
+    ctl::control_session session;
+    const int status = parse(argc, argv, session.options);
+    if (status >= 0)
+        return status;
+    if (session.options.author.empty())
+        session.options.author = "operator";
+    if (session.word(0) == "check")
+        return checkSettings(session.options);
+    return kernel::runOnce(argc, argv, [&](boost::asio::io_context &context) {
+        session.platform = std::make_unique<store::http_store>(session.options.storeAddress, storeTimeout);
+        session.store = session.platform->api();
+        session.peers = std::make_unique<wire::peer_link>(context);
+        session.pool = std::make_unique<http::connection_pool>(context, http::pool_limits {});
+        return dispatch(session);
+    });
+}
--- /dev/null
+++ b/src/daemon/daemon_core.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "config/config_follower.h"
+#include "kernel/registry.h"
+#include "observe/counter_export.h"
+#include "observe/operator_page.h"
+#include "settings/process_settings.h"
+#include "store/host_list.h"
+#include "store/http_store.h"
+#include "wire/peer_link.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <string>
+
+namespace almond::daemon {
+
+//! Names under which the services of a daemon stand in its registry.
+namespace service_name {
+inline constexpr const char *clock = "clock";
+inline constexpr const char *store = "store";
+inline constexpr const char *hosts = "hosts";
+inline constexpr const char *peers = "peers";
+inline constexpr const char *config = "config";
+inline constexpr const char *metrics = "metrics";
+inline constexpr const char *scheduler = "scheduler";
+inline constexpr const char *router = "router";
+} // namespace service_name
+
+//! Registers the services that every daemon has: clock, store, hosts, peers, config and metrics.
+void registerCore(kernel::registry &services, boost::asio::io_context &context,
+                  const settings::common_settings &settings, std::uint64_t snapshotAfter);
+
+//! Starts the loops of the services of registerCore().
+void startCore(const kernel::registry &services, boost::asio::io_context &context);
+
+//! The part of the dump that every daemon has.
+nlohmann::json dumpCore(const kernel::registry &services, const settings::common_settings &settings);
+
+//! Exports the metrics that every daemon has.
+void exportCore(const kernel::registry &services, observe::counter_export &metrics);
+
+//! Returns a name for this run of the process \a id that no earlier or later run has.
+std::string instanceName(const std::string &id);
+
+} // namespace almond::daemon
--- /dev/null
+++ b/src/daemon/gateway_daemon.cpp
@@ -0,0 +1,169 @@
+#include "daemon/gateway_daemon.h"
+
+#include "daemon/daemon_core.h"
+#include "observe/log.h"
+
+#include <prometheus/histogram.h>
+
+namespace almond::daemon {
+
+namespace {
+
+//! Time for the balancer to notice that /ready has turned.
+constexpr kernel::milliseconds balancerNotice {500};
+constexpr kernel::milliseconds claimRetention {24 * 3600 * 1000};
+
+prometheus::Histogram &requestHistogram(prometheus::Registry &registry)
+{
+    return prometheus::BuildHistogram()
+        .Name("almond_request_seconds")
+        .Help("Time from a request's arrival to its answer")
+        .Register(registry)
+        .Add({},
+             prometheus::Histogram::BucketBoundaries {0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1,
+                                                      2, 5});
+}
+
+} // namespace
+
+gateway_daemon::gateway_daemon(settings::gateway_settings settings)
+    : m_settings(std::move(settings))
+{
+}
+
+void gateway_daemon::start(boost::asio::io_context &context)
+{
+    registerCore(m_services, context, m_settings.common, 0);
+    registerRouter(context);
+    openOperatorPage();
+    openCallersPort(context);
+    startCore(m_services, context);
+    observe::log(observe::log_level::info, "gateway started", {{"listen", m_settings.listenAddress}});
+}
+
+void gateway_daemon::registerRouter(boost::asio::io_context &context)
+{
+    const auto follower = m_services.find<config::config_follower>(service_name::config);
+    const auto hosts = m_services.find<store::host_list>(service_name::hosts);
+    const auto registry = m_services.find<prometheus::Registry>(service_name::metrics);
+    m_minions = std::make_unique<http::connection_pool>(context, http::pool_limits {});
+    m_claims = std::make_unique<routing::request_claims>(
+        m_services.find<store::http_store>(service_name::store)->api(), m_settings.common.id, claimRetention);
+    m_jobs = std::make_unique<routing::job_frontend>(*m_services.find<wire::peer_link>(service_name::peers),
+                                                     m_settings.common.schedulers);
+    prometheus::Histogram &histogram = requestHistogram(*registry);
+    routing::router_context needs;
+    needs.processId = instanceName(m_settings.common.id);
+    needs.clock = *m_services.find<kernel::clock_source>(service_name::clock);
+    needs.config = [follower] { return follower->view(); };
+    needs.hosts = hosts.get();
+    needs.minions = m_minions.get();
+    needs.claims = m_claims.get();
+    needs.rules.policy = routing::policyNamed(m_settings.routingPolicy);
+    needs.queueLength = static_cast<std::size_t>(m_settings.queueLength);
+    needs.observeSeconds = [&histogram](double seconds) { histogram.Observe(seconds); };
+    const auto router = std::make_shared<routing::request_router>(context, std::move(needs));
+    m_services.provide(service_name::router, router);
+    follower->onChange([router] { router->refresh(); });
+    hosts->onChange([router] { router->refresh(); });
+}
+
+void gateway_daemon::openOperatorPage()
+{
+    const auto router = m_services.find<routing::request_router>(service_name::router);
+    const auto registry = m_services.find<prometheus::Registry>(service_name::metrics);
+    m_metrics = std::make_unique<observe::counter_export>(registry);
+    exportCore(m_services, *m_metrics);
+    const auto count
+        = [&](const char *name, const char *help, std::uint64_t routing::router_counters::*member) {
+              m_metrics->counter(name, help, [router, member] { return router->counters().*member; });
+          };
+    count("almond_requests_total", "Requests of callers", &routing::router_counters::requests);
+    count("almond_requests_run_total", "Requests answered by a minion", &routing::router_counters::run);
+    count("almond_requests_not_run_total", "Requests that no minion ran", &routing::router_counters::notRun);
+    count("almond_requests_unknown_total", "Requests that may have run", &routing::router_counters::unknown);
+    count("almond_attempts_total", "Attempts at minions", &routing::router_counters::attempts);
+    count("almond_refusals_total", "Attempts that minions refused", &routing::router_counters::refused);
+    count("almond_retries_total", "Attempts repeated elsewhere", &routing::router_counters::retries);
+    m_metrics->gauge("almond_queue_length", "Requests waiting for a minion",
+                     [router] { return static_cast<double>(router->queued()); });
+    m_metrics->gauge("almond_minion_connections", "Open connections to minions",
+                     [this] { return static_cast<double>(m_minions->openCount()); });
+    observe::operator_view view;
+    view.ready = [this] {
+        return m_ready && m_services.find<config::config_follower>(service_name::config)->view()->version > 0;
+    };
+    view.dump = [this] { return dump(); };
+    view.beforeMetrics = [this] { m_metrics->update(); };
+    view.metrics = registry;
+    m_operators = std::make_unique<observe::operator_page>(std::move(view));
+    m_operators->listen(m_settings.common.operatorAddress);
+}
+
+void gateway_daemon::openCallersPort(boost::asio::io_context &context)
+{
+    http::server_limits limits;
+    limits.headerBytes = static_cast<std::uint32_t>(m_settings.headerBytes);
+    limits.bodyBytes = static_cast<std::uint64_t>(m_settings.bodyBytes);
+    limits.receiveTimeout = m_settings.receiveTimeout;
+    limits.idleTimeout = m_settings.idleTimeout;
+    limits.connections = static_cast<std::size_t>(m_settings.connections);
+    m_server = std::make_unique<http::server>(
+        context, limits, [this](http::request asked) { return handle(std::move(asked)); });
+    m_server->listen(m_settings.listenAddress);
+    m_ready = true;
+}
+
+kernel::task<http::reply> gateway_daemon::handle(http::request asked)
+{
+    const std::string_view target(asked.target().data(), asked.target().size());
+    if (!target.starts_with('/'))
+        return [](std::string text) -> kernel::task<http::reply> {
+            co_return routing::makeOutcomeReply(http::status::bad_request, routing::outcome::notRun, text);
+        }("the target must be a path");
+    if (routing::job_frontend::handles(http::splitTarget(target).path))
+        return m_jobs->handle(std::move(asked));
+    return m_services.find<routing::request_router>(service_name::router)->route(std::move(asked));
+}
+
+nlohmann::json gateway_daemon::dump() const
+{
+    nlohmann::json state = dumpCore(m_services, m_settings.common);
+    const auto router = m_services.find<routing::request_router>(service_name::router);
+    const routing::router_counters &counters = router->counters();
+    state["role"] = "gateway";
+    state["ready"] = m_ready;
+    state["services"] = router->dump();
+    state["requests"] = {{"inFlight", m_server->requestsInFlight()},
+                         {"all", counters.requests},
+                         {"run", counters.run},
+                         {"notRun", counters.notRun},
+                         {"unknown", counters.unknown},
+                         {"attempts", counters.attempts},
+                         {"refused", counters.refused},
+                         {"retries", counters.retries},
+                         {"retriesDenied", counters.retriesDenied},
+                         {"queueFull", counters.queueFull},
+                         {"queueExpired", counters.queueExpired}};
+    const http::server_counters &served = m_server->counters();
+    state["callers"] = {{"connections", m_server->connectionCount()},
+                        {"accepted", served.accepted},
+                        {"bodyTooLarge", served.bodyTooLarge},
+                        {"headerTooLarge", served.headerTooLarge},
+                        {"malformed", served.malformed},
+                        {"timedOut", served.timedOut},
+                        {"refusedConnections", served.refusedConnections}};
+    state["minionConnections"] = {{"open", m_minions->openCount()}, {"idle", m_minions->idleCount()}};
+    return state;
+}
+
+kernel::task<void> gateway_daemon::stop()
+{
+    observe::log(observe::log_level::info, "gateway stopping", {{"inFlight", m_server->requestsInFlight()}});
+    m_ready = false;
+    co_await kernel::sleepFor(balancerNotice);
+    co_await m_server->drain(m_settings.drainLimit);
+    observe::log(observe::log_level::info, "gateway stopped");
+}
+
+} // namespace almond::daemon
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,212 @@
+#include "http/server.h"
+
+#include "http/address.h"
+
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace almond::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+using kernel::task;
+
+namespace {
+
+constexpr kernel::milliseconds drainPollInterval {5};
+constexpr kernel::milliseconds acceptRetryInterval {50};
+
+auto into(error_code &error)
+{
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+status statusFor(error_code error)
+{
+    if (error == beast::http::error::body_limit)
+        return status::payload_too_large;
+    if (error == beast::http::error::header_limit)
+        return status::request_header_fields_too_large;
+    if (error == beast::error::timeout)
+        return status::request_timeout;
+    return status::bad_request;
+}
+
+} // namespace
+
+server::server(asio::io_context &context, server_limits limits, handler handle)
+    : m_context(context)
+    , m_limits(limits)
+    , m_handle(std::move(handle))
+    , m_acceptor(context)
+{
+}
+
+void server::listen(const std::string &address)
+{
+    const host_port target = splitAddress(address);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(target.host), target.port);
+    m_acceptor.open(endpoint.protocol());
+    m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    m_acceptor.bind(endpoint);
+    m_acceptor.listen(asio::socket_base::max_listen_connections);
+    kernel::spawn(m_context.get_executor(), acceptLoop());
+}
+
+std::uint16_t server::port() const
+{
+    return m_acceptor.local_endpoint().port();
+}
+
+task<void> server::acceptLoop()
+{
+    while (m_acceptor.is_open()) {
+        error_code error;
+        asio::ip::tcp::socket socket = co_await m_acceptor.async_accept(into(error));
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error) {
+            co_await kernel::sleepFor(acceptRetryInterval);
+            continue;
+        }
+        ++m_counters.accepted;
+        if (m_sessions.size() >= m_limits.connections) {
+            ++m_counters.refusedConnections;
+            continue;
+        }
+        socket.set_option(asio::ip::tcp::no_delay(true), error);
+        auto client = std::make_shared<session>(session {stream(std::move(socket)), {}, false});
+        kernel::spawn(m_context.get_executor(), serve(std::move(client)));
+    }
+}
+
+task<void> server::serve(std::shared_ptr<session> client)
+{
+    const auto place = m_sessions.insert(m_sessions.end(), client);
+    co_await serveRequests(*client);
+    error_code ignored;
+    client->link.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    m_sessions.erase(place);
+}
+
+task<void> server::serveRequests(session &client)
+{
+    while (!m_draining) {
+        request message;
+        const read_outcome received = co_await readRequest(client, message);
+        if (received != read_outcome::complete)
+            co_return;
+        ++m_counters.requests;
+        ++m_inFlight;
+        const request asked(beast::http::request_header<>(message.base()));
+        reply answer = co_await m_handle(std::move(message));
+        const bool keep = co_await sendReply(client, std::move(answer), asked);
+        --m_inFlight;
+        client.busy = false;
+        if (!keep)
+            co_return;
+    }
+}
+
+task<server::read_outcome> server::readRequest(session &client, request &message)
+{
+    beast::http::request_parser<beast::http::string_body> parser;
+    parser.header_limit(m_limits.headerBytes);
+    parser.body_limit(m_limits.bodyBytes);
+    error_code error;
+    if (client.buffer.size() == 0) {
+        client.link.expires_after(m_limits.idleTimeout);
+        auto space = client.buffer.prepare(m_limits.headerBytes);
+        const std::size_t received = co_await client.link.async_read_some(space, into(error));
+        client.buffer.commit(received);
+        if (error)
+            co_return read_outcome::closed;
+    }
+    client.busy = true;
+    client.link.expires_after(m_limits.receiveTimeout);
+    co_await beast::http::async_read(client.link, client.buffer, parser, into(error));
+    if (!error) {
+        message = parser.release();
+        co_return read_outcome::complete;
+    }
+    const bool closed = error == beast::http::error::end_of_stream
+        || error == beast::http::error::partial_message || error == asio::error::connection_reset
+        || error == asio::error::operation_aborted;
+    if (closed)
+        co_return read_outcome::closed;
+    co_await reject(client, error);
+    co_return read_outcome::rejected;
+}
+
+task<void> server::reject(session &client, error_code error)
+{
+    const status code = statusFor(error);
+    m_counters.bodyTooLarge += code == status::payload_too_large ? 1 : 0;
+    m_counters.headerTooLarge += code == status::request_header_fields_too_large ? 1 : 0;
+    m_counters.timedOut += code == status::request_timeout ? 1 : 0;
+    m_counters.malformed += code == status::bad_request ? 1 : 0;
+    if (!client.link.socket().is_open())
+        co_return;
+    response answer = makeErrorReply(code, error.message()).message;
+    answer.set("Almond-Outcome", "not-run");
+    answer.keep_alive(false);
+    answer.prepare_payload();
+    client.link.expires_after(m_limits.sendTimeout);
+    error_code ignored;
+    co_await beast::http::async_write(client.link, answer, into(ignored));
+    // Takes in what the client still sends: a reset would destroy the answer on its way.
+    client.link.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    client.link.expires_after(kernel::milliseconds(1000));
+    while (!ignored) {
+        client.buffer.clear();
+        co_await client.link.async_read_some(client.buffer.prepare(m_limits.headerBytes), into(ignored));
+    }
+}
+
+task<bool> server::sendReply(session &client, reply answer, const request &asked)
+{
+    if (answer.action == reply_action::dropConnection)
+        co_return false;
+    response &message = answer.message;
+    message.version(asked.version());
+    message.keep_alive(asked.keep_alive() && !m_draining);
+    message.prepare_payload();
+    if (answer.action == reply_action::truncate)
+        message.body().resize(message.body().size() / 2);
+    client.link.expires_after(m_limits.sendTimeout);
+    error_code error;
+    beast::http::response_serializer<beast::http::string_body> serializer(message);
+    if (asked.method() == verb::head)
+        co_await beast::http::async_write_header(client.link, serializer, into(error));
+    else
+        co_await beast::http::async_write(client.link, serializer, into(error));
+    co_return !error && message.keep_alive() && answer.action == reply_action::send;
+}
+
+void server::closeIdle()
+{
+    for (const auto &place : m_sessions) {
+        const auto client = place.lock();
+        if (client && !client->busy)
+            client->link.cancel();
+    }
+}
+
+task<void> server::drain(kernel::milliseconds limit)
+{
+    m_draining = true;
+    error_code ignored;
+    m_acceptor.close(ignored);
+    closeIdle();
+    const auto end = kernel::systemNow() + limit;
+    while (!m_sessions.empty() && kernel::systemNow() < end) {
+        co_await kernel::sleepFor(drainPollInterval);
+        closeIdle();
+    }
+}
+
+} // namespace almond::http
--- /dev/null
+++ b/src/http/server.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "http/message.h"
+#include "kernel/task.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+namespace almond::http {
+
+//! Bounds that protect a server from its clients.
+struct server_limits
+{
+    std::uint32_t headerBytes = 16 * 1024;
+    std::uint64_t bodyBytes = 16ULL * 1024 * 1024;
+    //! Time for one whole request to arrive once its first byte has.
+    kernel::milliseconds receiveTimeout {10'000};
+    //! Time for one whole answer to be taken by the client.
+    kernel::milliseconds sendTimeout {30'000};
+    //! Time a connection may stay open without a request.
+    kernel::milliseconds idleTimeout {60'000};
+    std::size_t connections = 4096;
+};
+
+//! Counters of one server.
+struct server_counters
+{
+    std::uint64_t accepted = 0;
+    std::uint64_t requests = 0;
+    std::uint64_t bodyTooLarge = 0;
+    std::uint64_t headerTooLarge = 0;
+    std::uint64_t malformed = 0;
+    std::uint64_t timedOut = 0;
+    std::uint64_t refusedConnections = 0;
+};
+
+//! Answers one request; called once for each request, several at a time on different connections.
+using handler = std::function<kernel::task<reply>(request)>;
+
+//! An HTTP/1.1 server with limits and a graceful stop. Over-long bodies get 413, over-long headers 431,
+//! and a client that is slower than the limits is cut with 408.
+class server
+{
+public:
+    server(boost::asio::io_context &context, server_limits limits, handler handle);
+
+    //! Listens on \a address (IP:PORT; port 0 takes a free one). Throws boost::system::system_error.
+    void listen(const std::string &address);
+    std::uint16_t port() const;
+
+    //! Stops accepting, lets requests in flight be answered, then closes every connection.
+    //! Gives up waiting after \a limit.
+    kernel::task<void> drain(kernel::milliseconds limit);
+
+    std::size_t requestsInFlight() const { return m_inFlight; }
+    std::size_t connectionCount() const { return m_sessions.size(); }
+    const server_counters &counters() const { return m_counters; }
+
+private:
+    using stream = boost::beast::tcp_stream;
+    struct session
+    {
+        stream link;
+        boost::beast::flat_buffer buffer;
+        bool busy = false;
+    };
+    enum class read_outcome { complete, closed, rejected };
+
+    kernel::task<void> acceptLoop();
+    kernel::task<void> serve(std::shared_ptr<session> client);
+    kernel::task<void> serveRequests(session &client);
+    kernel::task<read_outcome> readRequest(session &client, request &message);
+    kernel::task<void> reject(session &client, boost::system::error_code error);
+    kernel::task<bool> sendReply(session &client, reply answer, const request &asked);
+    void closeIdle();
+
+    boost::asio::io_context &m_context;
+    server_limits m_limits;
+    handler m_handle;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::list<std::weak_ptr<session>> m_sessions;
+    std::size_t m_inFlight = 0;
+    bool m_draining = false;
+    server_counters m_counters;
+};
+
+} // namespace almond::http
--- /dev/null
+++ b/src/kernel/process.cpp
@@ -0,0 +1,57 @@
+#include "kernel/process.h"
+
+#include "kernel/asio_event_dispatcher.h"
+
+#include <QCoreApplication>
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+
+namespace almond::kernel {
+
+namespace asio = boost::asio;
+
+namespace {
+
+//! Outlives the application: Qt's objects still unregister their sockets while it is torn down.
+asio::io_context &processContext()
+{
+    static asio::io_context context(1);
+    return context;
+}
+
+} // namespace
+
+int runProcess(int &argc, char **argv, const std::function<void(asio::io_context &)> &start,
+               const std::function<task<void>()> &stop)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::io_context &context = processContext();
+    QCoreApplication::setEventDispatcher(new asio_event_dispatcher(context));
+    QCoreApplication application(argc, argv);
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](boost::system::error_code error, int) {
+        if (error)
+            return;
+        asio::co_spawn(context, stop(), [](const std::exception_ptr &) { QCoreApplication::quit(); });
+    });
+    start(context);
+    return QCoreApplication::exec();
+}
+
+int runOnce(int &argc, char **argv, const std::function<task<int>(asio::io_context &)> &work)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::io_context &context = processContext();
+    QCoreApplication::setEventDispatcher(new asio_event_dispatcher(context));
+    QCoreApplication application(argc, argv);
+    asio::co_spawn(context, work(context), [](const std::exception_ptr &failure, int status) {
+        if (failure)
+            std::rethrow_exception(failure);
+        QCoreApplication::exit(status);
+    });
+    return QCoreApplication::exec();
+}
+
+} // namespace almond::kernel
--- /dev/null
+++ b/src/kernel/task.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "kernel/time.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <exception>
+#include <utility>
+
+namespace almond::kernel {
+
+//! A coroutine on the process's only loop.
+template<typename T>
+using task = boost::asio::awaitable<T>;
+
+//! Suspends the calling coroutine for \a duration.
+inline task<void> sleepFor(milliseconds duration)
+{
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, duration);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
+//! Starts \a work beside the caller. An exception that leaves it ends the process: it is a defect.
+inline void spawn(const boost::asio::any_io_executor &executor, task<void> work)
+{
+    boost::asio::co_spawn(executor, std::move(work), [](const std::exception_ptr &failure) {
+        if (failure)
+            std::rethrow_exception(failure);
+    });
+}
+
+} // namespace almond::kernel
--- /dev/null
+++ b/src/placement/cell_owner.cpp
@@ -0,0 +1,420 @@
+#include "placement/cell_owner.h"
+
+#include "observe/log.h"
+#include "placement/batch_filter.h"
+#include "placement/cell_directory.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+
+namespace almond::placement {
+
+using kernel::task;
+using observe::log_level;
+using store::append_status;
+
+namespace {
+
+constexpr kernel::milliseconds stopPollInterval {5};
+constexpr kernel::milliseconds moveInterval {200};
+constexpr kernel::milliseconds unsettledDelay {200};
+constexpr std::size_t moveBatch = 200;
+constexpr std::size_t forgetBatch = 200;
+constexpr store::append_limits appendLimits {3, kernel::milliseconds(50)};
+
+std::string submissionId(const std::string &process, std::uint64_t epoch, std::uint64_t number)
+{
+    return process + "/" + std::to_string(epoch) + "/" + std::to_string(number);
+}
+
+} // namespace
+
+cell_owner::cell_owner(boost::asio::io_context &context, owner_context services, std::string name)
+    : m_context(context)
+    , m_services(std::move(services))
+    , m_name(std::move(name))
+    , m_journal("cell/" + m_name)
+    , m_commitSignal(context.get_executor())
+{
+}
+
+task<bool> cell_owner::takeOver()
+{
+    const store::journal_contents contents = co_await store::loadJournal(m_services.store, m_journal);
+    if (contents.status != store::store_status::ok && contents.status != store::store_status::absent)
+        co_return false;
+    m_state = contents.snapshotIndex > 0 ? stateOf(contents.snapshot) : cell_state {};
+    m_snapshotIndex = contents.snapshotIndex;
+    for (const store::journal_entry &entry : contents.entries) {
+        m_state.index = entry.index;
+        applyBatch({decodeRecords(entry.body), {}});
+    }
+    m_counters = {};
+    batch first;
+    first.records.emplace_back(owner_record {m_services.processId, kernel::toMillis(m_services.clock())});
+    co_return co_await appendBatch(first);
+}
+
+void cell_owner::start()
+{
+    const auto self = shared_from_this();
+    refreshWorkers();
+    kernel::spawn(m_context.get_executor(), commitLoop(self));
+    kernel::spawn(m_context.get_executor(), moveLoop(self));
+}
+
+task<void> cell_owner::stop()
+{
+    m_stopping = true;
+    wakeAll();
+    while (m_running > 0)
+        co_await kernel::sleepFor(stopPollInterval);
+}
+
+void cell_owner::wakeAll()
+{
+    m_commitSignal.wake();
+    for (const auto &[id, worker] : m_workers)
+        worker->signal.wake();
+}
+
+task<bool> cell_owner::commitRecords(std::vector<cell_record> records, kernel::milliseconds limit)
+{
+    if (m_stopping || m_replaced)
+        co_return false;
+    auto done = std::make_shared<kernel::completion<bool>>(m_context.get_executor());
+    m_waiting.push_back({std::move(records), done});
+    m_commitSignal.wake();
+    const std::optional<bool> committed = co_await done->wait(limit);
+    co_return committed.value_or(false);
+}
+
+void cell_owner::observe(std::vector<cell_record> records)
+{
+    if (records.empty())
+        return;
+    std::move(records.begin(), records.end(), std::back_inserter(m_observed));
+    m_commitSignal.wake();
+}
+
+bool cell_owner::isWithin(const store::listed_host &host) const
+{
+    if (host.role != "worker" || host.failureDomain != domainOfCell(m_name))
+        return false;
+    return cellOfWorker(m_services.config()->parsed, host.failureDomain, host.id) == m_name;
+}
+
+void cell_owner::drive(const std::string &id)
+{
+    if (m_workers.contains(id))
+        return;
+    m_workers.emplace(id, std::make_shared<driven_worker>(m_context.get_executor()));
+    kernel::spawn(m_context.get_executor(), driveWorker(shared_from_this(), id));
+}
+
+void cell_owner::refreshWorkers()
+{
+    for (const auto &[id, host] : m_services.hosts->hosts()) {
+        if (isWithin(host))
+            drive(id);
+    }
+    // A worker that left the host list may still hold attempts whose leases have to run out.
+    for (const auto &[id, worker] : m_state.workers) {
+        if (!worker.jobs.empty())
+            drive(id);
+    }
+    for (const auto &[id, worker] : m_workers) {
+        const auto host = m_services.hosts->hosts().find(id);
+        worker->listed = host != m_services.hosts->hosts().end() && !host->second.leaving;
+    }
+}
+
+link_inputs cell_owner::linkInputs() const
+{
+    const config::config_view_ptr view = m_services.config();
+    return {view->confirmedAt, m_services.ownershipConfirmedAt(),
+            config::isOpen(view->parsed, domainOfCell(m_name))};
+}
+
+task<void> cell_owner::driveWorker(std::shared_ptr<cell_owner> self, std::string id)
+{
+    const std::shared_ptr<driven_worker> worker = m_workers.at(id);
+    ++m_running;
+    while (!m_stopping && !m_replaced) {
+        const auto host = m_services.hosts->hosts().find(id);
+        const bool listed = host != m_services.hosts->hosts().end();
+        const time_point now = m_services.clock();
+        if (listed) {
+            const sync_request request = nextRequest(m_state, m_name, id, worker->link, linkInputs(),
+                                                     m_services.settings.leases, now);
+            http::request message(http::verb::post, "/v1/sync", 11);
+            message.set(http::field::host, host->second.address);
+            message.body() = json(request).dump();
+            ++m_counters.syncs;
+            const http::exchange_result result = co_await m_services.workers->exchange(
+                host->second.address, std::move(message), m_services.settings.syncTimeout);
+            const json body = json::parse(result.answer.body(), nullptr, false);
+            const bool answered = result.status == http::exchange_status::answered && body.is_object()
+                && result.answer.result() == http::status::ok;
+            if (answered)
+                observe(
+                    takeResponse(m_state, id, worker->link, body.get<sync_response>(), m_services.clock()));
+            else
+                ++m_counters.syncFailures;
+        }
+        observe(lapsedAttempts(m_state, id, worker->link, m_services.settings.leases, m_services.clock()));
+        co_await worker->signal.wait(m_services.settings.syncInterval);
+    }
+    --m_running;
+}
+
+std::set<std::string> cell_owner::usableWorkers(time_point now) const
+{
+    std::set<std::string> usable;
+    for (const auto &[id, worker] : m_workers) {
+        const auto entry = m_state.workers.find(id);
+        const bool sameIncarnation
+            = entry != m_state.workers.end() && entry->second.incarnation == worker->link.incarnation;
+        if (sameIncarnation && worker->listed
+            && isReachable(worker->link, now, m_services.settings.reachableLimit))
+            usable.insert(id);
+    }
+    return usable;
+}
+
+plan_inputs cell_owner::planInputs(std::span<const cell_record> records, time_point now) const
+{
+    const config::config_view_ptr view = m_services.config();
+    touched_items touched = touchedBy(records);
+    std::set<std::string> usable = usableWorkers(now);
+    std::erase_if(usable, [&](const std::string &id) { return touched.workers.contains(id); });
+    plan_inputs inputs;
+    inputs.candidates = candidatesOf(m_state, usable);
+    inputs.touchedJobs = std::move(touched.jobs);
+    inputs.domainOpen = config::isOpen(view->parsed, domainOfCell(m_name));
+    const bool fresh = now - view->confirmedAt <= m_services.settings.leases.startValidity;
+    inputs.mayStart = inputs.domainOpen && fresh;
+    inputs.cellCount = cellNames(view->parsed).size();
+    return inputs;
+}
+
+void cell_owner::planMoves(const plan_inputs &inputs, std::vector<cell_record> &records, time_point now) const
+{
+    const config::config_view_ptr view = m_services.config();
+    for (const std::string &id : jobsToMove(m_state, inputs, moveBatch)) {
+        const std::uint32_t hops = m_state.jobs.find(id)->second.hops;
+        const auto target = moveTarget(view->parsed, id, m_name, hops);
+        if (target)
+            records.emplace_back(move_started_record {id, *target, kernel::toMillis(now)});
+    }
+}
+
+cell_owner::batch cell_owner::prepareBatch(time_point now)
+{
+    batch next;
+    std::vector<cell_record> gathered = std::exchange(m_observed, {});
+    next.waiting = std::exchange(m_waiting, {});
+    for (const waiting_commit &waiting : next.waiting)
+        std::copy(waiting.records.begin(), waiting.records.end(), std::back_inserter(gathered));
+    next.records = filterRecords(m_state, std::move(gathered));
+    const plan_inputs inputs = planInputs(next.records, now);
+    const auto starts = planStarts(m_state, m_services.config()->parsed, inputs, now);
+    std::copy(starts.begin(), starts.end(), std::back_inserter(next.records));
+    if (!inputs.domainOpen || starts.empty())
+        planMoves(inputs, next.records, now);
+    forgotten_record forgotten;
+    for (const auto &[id, job] : m_state.jobs) {
+        const bool old = now - kernel::fromMillis(job.phaseSinceMs) > m_services.settings.retention;
+        if (old && isFinal(job.phase) && forgotten.jobs.size() < forgetBatch)
+            forgotten.jobs.push_back(id);
+    }
+    if (!forgotten.jobs.empty())
+        next.records.emplace_back(std::move(forgotten));
+    return next;
+}
+
+task<bool> cell_owner::appendBatch(const batch &next)
+{
+    store::journal_entry entry;
+    entry.index = m_state.index + 1;
+    entry.writer = m_services.processId;
+    entry.submission = submissionId(m_services.processId, m_state.epoch, m_nextSubmission++);
+    entry.body = encodeRecords(next.records);
+    while (true) {
+        const store::append_result result
+            = co_await store::appendEntry(m_services.store, m_journal, entry, appendLimits);
+        if (result.status == append_status::committed)
+            break;
+        if (result.status == append_status::taken) {
+            m_replaced = true;
+            observe::log(log_level::warning, "cell taken over by another scheduler",
+                         {{"cell", m_name}, {"writer", result.standing ? result.standing->writer : ""}});
+            co_return false;
+        }
+        // The next owner reads the entry back, or finds its index free.
+        if (m_stopping)
+            co_return false;
+        co_await kernel::sleepFor(unsettledDelay);
+    }
+    m_state.index = entry.index;
+    applyBatch(next);
+    co_return true;
+}
+
+void cell_owner::applyBatch(const batch &next)
+{
+    ++m_counters.entries;
+    for (const cell_record &record : next.records) {
+        boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void> {
+                BOOST_LEAF_CHECK(apply(m_state, record, m_state.index));
+                count(record);
+                return {};
+            },
+            [&](const record_error &error) {
+                observe::log(log_level::error, "record refused",
+                             {{"cell", m_name},
+                              {"index", m_state.index},
+                              {"text", error.text},
+                              {"fault", static_cast<int>(error.fault)}});
+            },
+            [&] {
+                observe::log(log_level::error, "record refused", {{"cell", m_name}});
+            });
+    }
+}
+
+void cell_owner::count(const cell_record &record)
+{
+    ++m_counters.records;
+    if (std::holds_alternative<assigned_record>(record))
+        ++m_counters.starts;
+    const auto *ended = std::get_if<ended_record>(&record);
+    if (!ended)
+        return;
+    m_counters.finished += ended->outcome == attempt_outcome::done ? 1 : 0;
+    m_counters.evicted += ended->outcome == attempt_outcome::evicted ? 1 : 0;
+    m_counters.lost += ended->outcome == attempt_outcome::lost ? 1 : 0;
+}
+
+void cell_owner::wakeWorkersOf(std::span<const cell_record> records)
+{
+    std::set<std::string> ids;
+    for (const cell_record &record : records) {
+        if (const auto *assigned = std::get_if<assigned_record>(&record))
+            ids.insert(assigned->worker);
+        if (const auto *joined = std::get_if<worker_record>(&record))
+            ids.insert(joined->worker);
+        const auto *cancelled = std::get_if<cancelled_record>(&record);
+        const auto job = cancelled ? m_state.jobs.find(cancelled->job) : m_state.jobs.end();
+        if (job != m_state.jobs.end())
+            ids.insert(job->second.worker);
+    }
+    for (const std::string &id : ids) {
+        const auto found = m_workers.find(id);
+        if (found != m_workers.end())
+            found->second->signal.wake();
+    }
+}
+
+task<void> cell_owner::commitLoop(std::shared_ptr<cell_owner> self)
+{
+    ++m_running;
+    while (!m_stopping && !m_replaced) {
+        refreshWorkers();
+        const batch next = prepareBatch(m_services.clock());
+        if (!next.records.empty()) {
+            const bool committed = co_await appendBatch(next);
+            if (committed)
+                wakeWorkersOf(next.records);
+            for (const waiting_commit &waiting : next.waiting)
+                waiting.done->complete(committed);
+            if (m_state.index >= m_snapshotIndex + m_services.settings.snapshotAfter && !m_snapshotRunning)
+                kernel::spawn(m_context.get_executor(), takeSnapshot(self));
+        } else {
+            for (const waiting_commit &waiting : next.waiting)
+                waiting.done->complete(true);
+        }
+        // The first sleep gathers records for one entry; the second ends when there is something to do.
+        co_await kernel::sleepFor(m_services.settings.commitInterval);
+        co_await m_commitSignal.wait(m_services.settings.syncInterval);
+    }
+    for (const waiting_commit &waiting : std::exchange(m_waiting, {}))
+        waiting.done->abandon();
+    --m_running;
+}
+
+task<void> cell_owner::takeSnapshot(std::shared_ptr<cell_owner> self)
+{
+    m_snapshotRunning = true;
+    const std::uint64_t index = m_state.index;
+    const bool written
+        = co_await store::writeSnapshot(m_services.store, m_journal, index, snapshotOf(m_state));
+    if (written)
+        m_snapshotIndex = index;
+    m_snapshotRunning = false;
+}
+
+task<void> cell_owner::moveLoop(std::shared_ptr<cell_owner> self)
+{
+    ++m_running;
+    while (!m_stopping && !m_replaced) {
+        std::map<std::string, std::vector<std::string>> byTarget;
+        for (const auto &[id, job] : m_state.jobs) {
+            if (job.phase == job_phase::moving && byTarget[job.moveTarget].size() < moveBatch)
+                byTarget[job.moveTarget].push_back(id);
+        }
+        for (auto &[target, jobs] : byTarget)
+            co_await handOver(target, std::move(jobs));
+        co_await kernel::sleepFor(moveInterval);
+    }
+    --m_running;
+}
+
+task<void> cell_owner::handOver(std::string target, std::vector<std::string> jobs)
+{
+    std::vector<cell_record> admitted;
+    for (const std::string &id : jobs) {
+        const job_entry &job = m_state.jobs.find(id)->second;
+        admitted.emplace_back(admitted_record {job.spec, job.admittedAtMs, job.attempt, job.failures,
+                                               job.checkpoint, job.hops});
+    }
+    const bool adopted = co_await m_services.adopt(target, encodeRecords(admitted));
+    if (!adopted)
+        co_return;
+    std::vector<cell_record> finished;
+    for (const std::string &id : jobs)
+        finished.emplace_back(move_finished_record {id, kernel::toMillis(m_services.clock())});
+    observe(std::move(finished));
+}
+
+json cell_owner::dump() const
+{
+    std::map<std::string, std::size_t> phases;
+    for (const auto &[id, job] : m_state.jobs)
+        ++phases[json(job.phase).get<std::string>()];
+    json workers = json::object();
+    for (const auto &[id, worker] : m_workers) {
+        const auto entry = m_state.workers.find(id);
+        const bool joined = entry != m_state.workers.end();
+        workers[id] = {{"listed", worker->listed},
+                       {"incarnation", worker->link.incarnation},
+                       {"answeredAtMs", kernel::toMillis(worker->link.answeredAt)},
+                       {"leaseGrantedUntilMs", kernel::toMillis(worker->link.grantedUntil)},
+                       {"capacity", joined ? json(entry->second.capacity) : json()},
+                       {"committed", joined ? json(entry->second.committed) : json()},
+                       {"jobs", joined ? json(entry->second.jobs) : json::array()}};
+    }
+    return {{"cell", m_name},
+            {"owner", m_state.owner},
+            {"epoch", m_state.epoch},
+            {"index", m_state.index},
+            {"snapshotIndex", m_snapshotIndex},
+            {"phases", phases},
+            {"queued", m_state.queue.size()},
+            {"workers", workers},
+            {"replaced", m_replaced}};
+}
+
+} // namespace almond::placement
--- /dev/null
+++ b/src/placement/cell_state.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "placement/cell_record.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace almond::placement {
+
+enum class job_phase { queued, assigned, moving, moved, done, failed, cancelled, impossible };
+
+NLOHMANN_JSON_SERIALIZE_ENUM(job_phase,
+                             {{job_phase::queued, "queued"},
+                              {job_phase::assigned, "assigned"},
+                              {job_phase::moving, "moving"},
+                              {job_phase::moved, "moved"},
+                              {job_phase::done, "done"},
+                              {job_phase::failed, "failed"},
+                              {job_phase::cancelled, "cancelled"},
+                              {job_phase::impossible, "impossible"}})
+
+//! A job and how far it has come.
+struct job_entry
+{
+    job_spec spec;
+    job_phase phase = job_phase::queued;
+    //! Number of the newest attempt; 0 before the first.
+    std::uint32_t attempt = 0;
+    std::uint32_t failures = 0;
+    std::uint32_t evictions = 0;
+    std::uint32_t hops = 0;
+    std::string worker; // while assigned
+    std::string checkpoint;
+    std::string moveTarget; // while moving
+    std::string reason;
+    bool cancelRequested = false;
+    std::int64_t admittedAtMs = 0;
+    std::int64_t phaseSinceMs = 0;
+};
+
+//! A worker and what its journal has committed on it.
+struct worker_entry
+{
+    std::string incarnation;
+    std::string address;
+    std::string rack;
+    resources capacity;
+    resources committed;
+    std::set<std::string> jobs;
+};
+
+//! Position in the queue: urgent work first, then by time of admission.
+struct queue_key
+{
+    bool routine = true;
+    std::int64_t admittedAtMs = 0;
+    std::string job;
+
+    bool operator<(const queue_key &other) const
+    {
+        return std::tie(routine, admittedAtMs, job) < std::tie(other.routine, other.admittedAtMs, other.job);
+    }
+};
+
+//! A cell: a group of whole workers in one failure domain, with its jobs. It is the fold of its journal.
+struct cell_state
+{
+    std::string owner;
+    std::uint64_t epoch = 0;
+    std::int64_t ownedSinceMs = 0;
+    //! Index of the last entry applied.
+    std::uint64_t index = 0;
+    std::map<std::string, job_entry, std::less<>> jobs;
+    std::map<std::string, worker_entry, std::less<>> workers;
+    std::set<queue_key> queue;
+    //! Resources assigned for each team.
+    std::map<std::string, resources, std::less<>> teamUsage;
+};
+
+//! Why a record can't be applied.
+enum class record_fault { unknownJob, unknownWorker, wrongPhase, wrongAttempt, overcommitted, stillRunning };
+
+//! A record that contradicts the state; nothing of it was applied.
+struct record_error
+{
+    record_fault fault;
+    std::string text;
+};
+
+//! Number of failed attempts after which a job is given up.
+inline constexpr std::uint32_t maximumFailures = 5;
+
+//! Applies one record of the entry \a index. Errors: record_error.
+boost::leaf::result<void> apply(cell_state &state, const cell_record &record, std::uint64_t index);
+
+//! Tells whether \a phase is final.
+bool isFinal(job_phase phase);
+
+json snapshotOf(const cell_state &state);
+cell_state stateOf(const json &snapshot);
+
+} // namespace almond::placement
--- /dev/null
+++ b/src/placement/ownership.cpp
@@ -0,0 +1,88 @@
+#include "placement/ownership.h"
+
+#include "placement/cell_directory.h"
+
+#include <nlohmann/json.hpp>
+
+namespace almond::placement {
+
+using json = nlohmann::json;
+
+namespace {
+
+const std::string memberPrefix = std::string(schedulerPrefix) + "member/";
+const std::string ownerPrefix = std::string(schedulerPrefix) + "owner/";
+
+scheduler_member decodeMember(const std::string &value)
+{
+    const json parsed = json::parse(value);
+    return {parsed.at("id"), parsed.at("peerAddress")};
+}
+
+bool mayTake(const std::string &cell, const std::string &desired, const std::string &self,
+             ownerless_times &ownerless, kernel::milliseconds grace, kernel::time_point now)
+{
+    const kernel::time_point since = ownerless.try_emplace(cell, now).first->second;
+    return desired == self || now - since >= grace;
+}
+
+} // namespace
+
+std::string memberKey(const std::string &id)
+{
+    return memberPrefix + id;
+}
+
+std::string ownerKey(const std::string &cell)
+{
+    return ownerPrefix + cell;
+}
+
+std::string encodeMember(const scheduler_member &member)
+{
+    return json {{"id", member.id}, {"peerAddress", member.peerAddress}}.dump();
+}
+
+ownership_view viewOf(std::span<const store::stored_item> items)
+{
+    ownership_view view;
+    for (const store::stored_item &item : items) {
+        if (item.key.starts_with(memberPrefix))
+            view.members.emplace(item.key.substr(memberPrefix.size()), decodeMember(item.value));
+        else if (item.key.starts_with(ownerPrefix))
+            view.owners.emplace(item.key.substr(ownerPrefix.size()), decodeMember(item.value));
+    }
+    return view;
+}
+
+ownership_plan planOwnership(const ownership_view &view, std::span<const std::string> cells,
+                             const std::string &self, const std::set<std::string> &owned,
+                             ownerless_times &ownerless, kernel::milliseconds grace, kernel::time_point now)
+{
+    std::vector<std::string> members;
+    for (const auto &[id, member] : view.members)
+        members.push_back(id);
+    ownership_plan plan;
+    for (const std::string &cell : cells) {
+        const std::string desired = rendezvous(cell, members);
+        const auto owner = view.owners.find(cell);
+        const bool mine = owned.contains(cell);
+        if (owner == view.owners.end()) {
+            if (mine)
+                plan.reassert.push_back(cell);
+            else if (mayTake(cell, desired, self, ownerless, grace, now))
+                plan.take.push_back(cell);
+            continue;
+        }
+        ownerless.erase(cell);
+        if (mine && owner->second.id != self)
+            plan.lost.push_back(cell);
+        else if (mine && desired != self)
+            plan.release.push_back(cell);
+        else if (!mine && owner->second.id == self)
+            plan.take.push_back(cell); // the answer to an earlier claim was lost
+    }
+    return plan;
+}
+
+} // namespace almond::placement
--- /dev/null
+++ b/src/placement/scheduler_service.cpp
@@ -0,0 +1,192 @@
+#include "placement/scheduler_service.h"
+
+#include "observe/log.h"
+#include "placement/cell_directory.h"
+
+namespace almond::placement {
+
+using kernel::task;
+using observe::log_level;
+using store::store_status;
+
+namespace {
+
+constexpr kernel::milliseconds adoptTimeout {3000};
+constexpr kernel::milliseconds stopPollInterval {5};
+
+} // namespace
+
+scheduler_service::scheduler_service(boost::asio::io_context &context, scheduler_options options,
+                                     owner_context services, wire::peer_link &peers)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_services(std::move(services))
+    , m_peers(peers)
+{
+    m_services.ownershipConfirmedAt = [this] { return m_confirmedAt; };
+    m_services.adopt
+        = [this](std::string cell, json records) { return adopt(std::move(cell), std::move(records)); };
+}
+
+std::shared_ptr<cell_owner> scheduler_service::find(const std::string &cell) const
+{
+    const auto found = m_cells.find(cell);
+    return found == m_cells.end() ? nullptr : found->second;
+}
+
+task<void> scheduler_service::run()
+{
+    m_running = true;
+    while (!m_stopping) {
+        const bool renewed = co_await renew();
+        if (renewed)
+            co_await refreshView();
+        dropReplaced();
+        co_await kernel::sleepFor(m_options.renewInterval);
+    }
+    m_running = false;
+}
+
+task<bool> scheduler_service::renew()
+{
+    if (!m_lease.empty()) {
+        const store::store_reply kept = co_await m_services.store.keepAlive(m_lease);
+        if (kept.status == store_status::unavailable)
+            co_return false;
+        if (kept.status != store_status::ok) {
+            m_lease.clear();
+            m_announced = false;
+        }
+    }
+    if (m_lease.empty()) {
+        const store::store_reply granted = co_await m_services.store.grantLease(m_options.storeLease);
+        if (granted.status != store_status::ok)
+            co_return false;
+        m_lease = granted.value;
+    }
+    if (!m_announced)
+        m_announced = co_await announce();
+    co_return m_announced;
+}
+
+task<bool> scheduler_service::announce()
+{
+    const std::string key = memberKey(m_options.self.id);
+    const std::string value = encodeMember(m_options.self);
+    const store::store_reply written = co_await m_services.store.create(key, value, m_lease);
+    if (written.status != store_status::conflict)
+        co_return written.status == store_status::ok;
+    // The answer to an earlier call was lost, or the key goes with a lease that has not run out yet.
+    const store::store_reply standing = co_await m_services.store.get(key);
+    co_return standing.status == store_status::ok &&standing.value == value;
+}
+
+task<void> scheduler_service::refreshView()
+{
+    const time_point asked = m_services.clock();
+    const store::range_reply reply = co_await m_services.store.range(store::prefixRange(schedulerPrefix));
+    if (reply.status != store_status::ok)
+        co_return;
+    m_view = viewOf(reply.items);
+    const std::vector<std::string> names = cellNames(m_services.config()->parsed);
+    std::set<std::string> owned;
+    for (const auto &[name, owner] : m_cells)
+        owned.insert(name);
+    const ownership_plan plan = planOwnership(m_view, names, m_options.self.id, owned, m_ownerless,
+                                              m_options.takeoverGrace, m_services.clock());
+    // Only a reading that names this process for all its cells bounds what a later owner must wait for.
+    if (plan.reassert.empty() && plan.lost.empty())
+        m_confirmedAt = asked;
+    for (const std::string &cell : plan.reassert)
+        co_await m_services.store.create(ownerKey(cell), encodeMember(m_options.self), m_lease);
+    for (const std::string &cell : plan.lost)
+        co_await release(cell);
+    for (const std::string &cell : plan.release)
+        co_await release(cell);
+    for (const std::string &cell : plan.take)
+        co_await take(cell);
+}
+
+task<void> scheduler_service::take(std::string cell)
+{
+    const auto listed = m_view.owners.find(cell);
+    const bool claimed = listed != m_view.owners.end() && listed->second.id == m_options.self.id;
+    if (!claimed) {
+        const store::store_reply written
+            = co_await m_services.store.create(ownerKey(cell), encodeMember(m_options.self), m_lease);
+        if (written.status != store_status::ok)
+            co_return;
+    }
+    auto owner = std::make_shared<cell_owner>(m_context, m_services, cell);
+    const bool taken = co_await owner->takeOver();
+    if (!taken) {
+        co_await m_services.store.remove(ownerKey(cell));
+        co_return;
+    }
+    observe::log(log_level::info, "cell taken", {{"cell", cell}, {"epoch", owner->state().epoch}});
+    m_cells[cell] = owner;
+    m_view.owners[cell] = m_options.self;
+    owner->start();
+}
+
+task<void> scheduler_service::release(std::string cell)
+{
+    const std::shared_ptr<cell_owner> owner = find(cell);
+    if (!owner)
+        co_return;
+    m_cells.erase(cell);
+    co_await owner->stop();
+    const auto listed = m_view.owners.find(cell);
+    if (listed != m_view.owners.end() && listed->second.id == m_options.self.id)
+        co_await m_services.store.remove(ownerKey(cell));
+    observe::log(log_level::info, "cell handed over", {{"cell", cell}});
+}
+
+void scheduler_service::dropReplaced()
+{
+    std::erase_if(m_cells, [](const auto &item) { return item.second->isReplaced(); });
+}
+
+task<bool> scheduler_service::adopt(std::string cell, json records)
+{
+    if (const auto own = find(cell))
+        co_return co_await own->commitRecords(decodeRecords(records), adoptTimeout);
+    const auto owner = m_view.owners.find(cell);
+    if (owner == m_view.owners.end())
+        co_return false;
+    json arguments;
+    arguments["cell"] = cell;
+    arguments["records"] = std::move(records);
+    const auto answer
+        = co_await m_peers.call(owner->second.peerAddress, "cell.adopt", std::move(arguments), adoptTimeout);
+    co_return answer && answer->value("committed", false);
+}
+
+task<void> scheduler_service::stop()
+{
+    m_stopping = true;
+    while (m_running)
+        co_await kernel::sleepFor(stopPollInterval);
+    for (const auto &[name, owner] : std::map(m_cells))
+        co_await release(name);
+    if (!m_lease.empty())
+        co_await m_services.store.revokeLease(m_lease);
+}
+
+json scheduler_service::dump() const
+{
+    json cells = json::object();
+    for (const auto &[name, owner] : m_cells)
+        cells[name] = owner->dump();
+    json owners = json::object();
+    for (const auto &[name, owner] : m_view.owners)
+        owners[name] = owner.id;
+    return {{"id", m_options.self.id},
+            {"lease", m_lease},
+            {"storeConfirmedAtMs", kernel::toMillis(m_confirmedAt)},
+            {"members", m_view.members.size()},
+            {"owners", owners},
+            {"cells", cells}};
+}
+
+} // namespace almond::placement
--- /dev/null
+++ b/src/placement/worker_link.cpp
@@ -0,0 +1,160 @@
+#include "placement/worker_link.h"
+
+#include <algorithm>
+
+namespace almond::placement {
+
+namespace {
+
+const worker_entry *findWorker(const cell_state &cell, std::string_view worker)
+{
+    const auto found = cell.workers.find(worker);
+    return found == cell.workers.end() ? nullptr : &found->second;
+}
+
+bool isCurrent(const cell_state &cell, std::string_view worker, const attempt_id &id)
+{
+    const auto job = cell.jobs.find(id.job);
+    return job != cell.jobs.end() && job->second.phase == job_phase::assigned
+        && job->second.attempt == id.attempt && job->second.worker == worker;
+}
+
+bool mustStop(const job_entry &job, bool domainOpen)
+{
+    if (job.cancelRequested)
+        return true;
+    return !domainOpen && job.spec.jobClass != job_class::registerTask;
+}
+
+void addOrders(const cell_state &cell, const worker_entry &entry, const worker_link &link,
+               const link_inputs &inputs, const lease_rules &rules, sync_request &request)
+{
+    const std::int64_t startBefore = kernel::toMillis(inputs.configConfirmedAt + rules.startValidity);
+    for (const std::string &id : entry.jobs) {
+        const job_entry &job = cell.jobs.find(id)->second;
+        const attempt_id attempt {id, job.attempt};
+        const bool stopped = mustStop(job, inputs.domainOpen);
+        if (!link.known.contains(attempt))
+            // A worker refuses an order whose time has passed; its refusal ends the attempt.
+            request.run.push_back({attempt, job.spec, job.checkpoint, stopped ? 0 : startBefore});
+        else if (stopped)
+            request.stop.push_back(attempt);
+    }
+}
+
+} // namespace
+
+bool isReachable(const worker_link &link, time_point now, kernel::milliseconds limit)
+{
+    return now - link.answeredAt <= limit;
+}
+
+sync_request nextRequest(const cell_state &cell, std::string_view cellName, std::string_view worker,
+                         worker_link &link, const link_inputs &inputs, const lease_rules &rules,
+                         time_point now)
+{
+    sync_request request;
+    request.cell = cellName;
+    request.epoch = cell.epoch;
+    request.sequence = ++link.sequence;
+    request.incarnation = link.incarnation;
+    const time_point renewalBase = std::min(now, inputs.ownershipConfirmedAt + rules.detachedLimit);
+    const time_point leaseUntil = renewalBase + rules.taskLease;
+    request.leaseUntilMs = kernel::toMillis(leaseUntil);
+    link.grantedUntil = std::max(link.grantedUntil, leaseUntil);
+    link.askedAt = now;
+    const worker_entry *entry = findWorker(cell, worker);
+    const bool sameIncarnation = entry && entry->incarnation == link.incarnation;
+    if (sameIncarnation)
+        addOrders(cell, *entry, link, inputs, rules, request);
+    request.acknowledge.assign(link.acknowledge.begin(), link.acknowledge.end());
+    return request;
+}
+
+namespace {
+
+//! A new incarnation has none of the attempts of the one before it.
+std::vector<cell_record> takeIncarnation(const cell_state &cell, std::string_view worker, worker_link &link,
+                                         const sync_response &response, time_point now)
+{
+    std::vector<cell_record> records;
+    const worker_entry *entry = findWorker(cell, worker);
+    const bool recorded
+        = entry && entry->incarnation == response.incarnation && entry->capacity == response.capacity;
+    if (link.incarnation != response.incarnation) {
+        link.known.clear();
+        link.acknowledge.clear();
+    }
+    link.incarnation = response.incarnation;
+    if (recorded)
+        return records;
+    if (entry && entry->incarnation != response.incarnation) {
+        for (const std::string &id : entry->jobs) {
+            const job_entry &job = cell.jobs.find(id)->second;
+            const attempt_id attempt {id, job.attempt};
+            const auto checkpoint = link.checkpoints.find(attempt);
+            records.emplace_back(ended_record {attempt, attempt_outcome::lost,
+                                               checkpoint == link.checkpoints.end() ? "" : checkpoint->second,
+                                               kernel::toMillis(now)});
+        }
+    }
+    records.emplace_back(worker_record {std::string(worker), response.incarnation,
+                                        entry ? entry->address : "", entry ? entry->rack : "",
+                                        response.capacity});
+    return records;
+}
+
+} // namespace
+
+std::vector<cell_record> takeResponse(const cell_state &cell, std::string_view worker, worker_link &link,
+                                      const sync_response &response, time_point now)
+{
+    std::vector<cell_record> records = takeIncarnation(cell, worker, link, response, now);
+    if (!response.accepted || !records.empty())
+        return records;
+    link.answeredAt = now;
+    link.usage.clear();
+    link.checkpoints.clear();
+    std::set<attempt_id> reported;
+    for (const attempt_report &report : response.attempts) {
+        reported.insert(report.id);
+        const bool current = isCurrent(cell, worker, report.id);
+        if (report.running) {
+            link.usage[report.id] = report.usage;
+            link.checkpoints[report.id] = report.checkpoint;
+        } else if (current) {
+            records.emplace_back(
+                ended_record {report.id, report.outcome, report.checkpoint, kernel::toMillis(now)});
+        } else {
+            link.acknowledge.insert(report.id);
+        }
+    }
+    std::erase_if(link.acknowledge, [&](const attempt_id &id) { return !reported.contains(id); });
+    link.known = std::move(reported);
+    return records;
+}
+
+std::vector<cell_record> lapsedAttempts(const cell_state &cell, std::string_view worker,
+                                        const worker_link &link, const lease_rules &rules, time_point now)
+{
+    std::vector<cell_record> records;
+    const worker_entry *entry = findWorker(cell, worker);
+    if (!entry)
+        return records;
+    // Until the worker has taken this epoch, an earlier owner may have renewed without the store.
+    const bool fenced = link.answeredAt != time_point {};
+    const time_point earlier = kernel::fromMillis(cell.ownedSinceMs) + rules.detachedLimit + rules.taskLease;
+    const time_point over = std::max(link.grantedUntil, fenced ? time_point {} : earlier);
+    if (now <= over + rules.clockMargin)
+        return records;
+    for (const std::string &id : entry->jobs) {
+        const attempt_id attempt {id, cell.jobs.find(id)->second.attempt};
+        const auto checkpoint = link.checkpoints.find(attempt);
+        records.emplace_back(ended_record {attempt, attempt_outcome::lost,
+                                           checkpoint == link.checkpoints.end() ? "" : checkpoint->second,
+                                           kernel::toMillis(now)});
+    }
+    return records;
+}
+
+} // namespace almond::placement
--- /dev/null
+++ b/src/routing/request_claims.cpp
@@ -0,0 +1,103 @@
+#include "routing/request_claims.h"
+
+#include <nlohmann/json.hpp>
+
+namespace almond::routing {
+
+using json = nlohmann::json;
+using kernel::task;
+using store::store_reply;
+using store::store_status;
+
+namespace {
+
+constexpr int claimAttempts = 3;
+constexpr kernel::milliseconds claimRetryDelay {50};
+constexpr kernel::milliseconds leaseChange {3'600'000};
+constexpr std::size_t keptBodyBytes = 64UL * 1024;
+
+std::string claimKey(const std::string &service, const std::string &key)
+{
+    return "claim/" + service + "/" + key;
+}
+
+claim_result resultOf(const store_reply &standing, const std::string &request)
+{
+    const json value = json::parse(standing.value);
+    claim_result result;
+    result.revision = standing.revision;
+    if (value.at("request") == request && !value.contains("answer")) {
+        result.status = claim_status::claimed;
+        return result;
+    }
+    result.status = claim_status::pending;
+    if (!value.contains("answer"))
+        return result;
+    const json &answer = value.at("answer");
+    result.status = claim_status::answered;
+    result.answer = {answer.at("status"), answer.at("body"), answer.at("minion")};
+    return result;
+}
+
+} // namespace
+
+request_claims::request_claims(store::store_api store, std::string gateway, kernel::milliseconds retention)
+    : m_store(std::move(store))
+    , m_gateway(std::move(gateway))
+    , m_retention(retention)
+{
+}
+
+//! One lease serves the claims of an hour; it is never renewed, so they go when the retention time is over.
+task<bool> request_claims::ensureLease()
+{
+    const kernel::time_point now = kernel::systemNow();
+    if (!m_lease.empty() && now < m_leaseRenewAt)
+        co_return true;
+    const store_reply granted = co_await m_store.grantLease(m_retention + leaseChange);
+    if (granted.status != store_status::ok)
+        co_return false;
+    m_lease = granted.value;
+    m_leaseRenewAt = now + leaseChange;
+    co_return true;
+}
+
+task<claim_result> request_claims::claim(std::string service, std::string key, std::string request)
+{
+    const bool leased = co_await ensureLease();
+    if (!leased)
+        co_return claim_result {};
+    const std::string place = claimKey(service, key);
+    const std::string value = json {{"gateway", m_gateway}, {"request", request}}.dump();
+    for (int attempt = 0; attempt < claimAttempts; ++attempt) {
+        const store_reply written = co_await m_store.create(place, value, m_lease);
+        if (written.status == store_status::ok)
+            co_return claim_result {claim_status::claimed, {}, written.revision};
+        // The key stands, or the answer was lost: what stands there decides.
+        const store_reply standing = co_await m_store.get(place);
+        if (standing.status == store_status::ok)
+            co_return resultOf(standing, request);
+        co_await kernel::sleepFor(claimRetryDelay);
+    }
+    co_return claim_result {};
+}
+
+task<void> request_claims::complete(std::string service, std::string key, std::int64_t revision,
+                                    kept_answer answer)
+{
+    if (answer.body.size() > keptBodyBytes)
+        answer.body.clear();
+    const json value
+        = {{"gateway", m_gateway},
+           {"request", "answered"},
+           {"answer", {{"status", answer.status}, {"body", answer.body}, {"minion", answer.minion}}}};
+    co_await m_store.replace(claimKey(service, key),
+                             value.dump(-1, ' ', false, json::error_handler_t::replace), revision);
+}
+
+task<void> request_claims::withdraw(std::string service, std::string key)
+{
+    co_await m_store.remove(claimKey(service, key));
+}
+
+} // namespace almond::routing
--- /dev/null
+++ b/src/routing/routing_state.cpp
@@ -0,0 +1,218 @@
+#include "routing/routing_state.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace almond::routing {
+
+namespace {
+
+constexpr double averageWeight = 0.1;
+constexpr int longestBackoffShift = 10;
+
+bool isLeaving(const minion_state &minion, time_point now)
+{
+    return minion.leaving || now < minion.leavingUntil;
+}
+
+bool hasSlot(const minion_state &minion)
+{
+    return minion.inFlight < minion.slots;
+}
+
+bool isHealthy(const minion_state &minion, time_point now)
+{
+    if (now < minion.pausedUntil || now < minion.ejectedUntil)
+        return false;
+    // After an ejection one request at a time shows whether the minion is back.
+    const bool onProbation = minion.ejections > 0;
+    return !onProbation || minion.inFlight == 0;
+}
+
+bool wasTried(const minion_state &minion, const std::vector<std::string> &tried)
+{
+    return std::find(tried.begin(), tried.end(), minion.id) != tried.end();
+}
+
+template<typename Allowed>
+std::vector<std::size_t> indexesOf(const routing_state &state, Allowed allowed)
+{
+    std::vector<std::size_t> indexes;
+    for (std::size_t index = 0; index < state.minions.size(); ++index) {
+        if (allowed(state.minions[index]))
+            indexes.push_back(index);
+    }
+    return indexes;
+}
+
+std::size_t randomOf(routing_state &state, const std::vector<std::size_t> &indexes)
+{
+    std::uniform_int_distribution<std::size_t> any(0, indexes.size() - 1);
+    return indexes[any(state.random)];
+}
+
+std::size_t nextInTurn(routing_state &state, const std::vector<std::size_t> &indexes)
+{
+    const auto after = std::lower_bound(indexes.begin(), indexes.end(), state.nextInTurn);
+    const std::size_t chosen = after == indexes.end() ? indexes.front() : *after;
+    state.nextInTurn = chosen + 1;
+    return chosen;
+}
+
+std::size_t betterOfTwo(routing_state &state, const std::vector<std::size_t> &indexes)
+{
+    const std::size_t first = randomOf(state, indexes);
+    const std::size_t second = randomOf(state, indexes);
+    return state.minions[second].inFlight < state.minions[first].inFlight ? second : first;
+}
+
+//! Expected wait grows with the requests in flight and with the minion's usual answer time.
+double loadOf(const minion_state &minion)
+{
+    const double typical = minion.typicalMs > 0 ? minion.typicalMs : 1;
+    return (static_cast<double>(minion.inFlight) + 1) * typical;
+}
+
+std::size_t leastLoaded(routing_state &state, const std::vector<std::size_t> &indexes)
+{
+    std::int64_t fewest = state.minions[indexes.front()].inFlight;
+    for (const std::size_t index : indexes)
+        fewest = std::min(fewest, state.minions[index].inFlight);
+    std::vector<std::size_t> best;
+    for (const std::size_t index : indexes) {
+        if (state.minions[index].inFlight == fewest)
+            best.push_back(index);
+    }
+    // Among equals, two random ones are compared by their usual answer time.
+    const std::size_t first = randomOf(state, best);
+    const std::size_t second = randomOf(state, best);
+    return loadOf(state.minions[second]) < loadOf(state.minions[first]) ? second : first;
+}
+
+std::size_t pick(routing_state &state, routing_policy policy, const std::vector<std::size_t> &indexes)
+{
+    switch (policy) {
+    case routing_policy::random:
+        return randomOf(state, indexes);
+    case routing_policy::roundRobin:
+        return nextInTurn(state, indexes);
+    case routing_policy::twoChoices:
+        return betterOfTwo(state, indexes);
+    case routing_policy::leastLoaded:
+        break;
+    }
+    return leastLoaded(state, indexes);
+}
+
+void recordFailure(minion_state &minion, const routing_rules &rules, time_point now)
+{
+    ++minion.failuresInRow;
+    if (minion.failuresInRow < rules.ejectAfter && minion.ejections == 0)
+        return;
+    const int shift = std::min(minion.ejections, longestBackoffShift);
+    const milliseconds pause = std::min(rules.longestEjection, rules.firstEjection * (1 << shift));
+    minion.ejectedUntil = now + pause;
+    ++minion.ejections;
+}
+
+} // namespace
+
+routing_policy policyNamed(std::string_view name)
+{
+    if (name == "random")
+        return routing_policy::random;
+    if (name == "round-robin")
+        return routing_policy::roundRobin;
+    if (name == "two-choices")
+        return routing_policy::twoChoices;
+    return routing_policy::leastLoaded;
+}
+
+std::optional<std::size_t> chooseMinion(routing_state &state, const routing_rules &rules,
+                                        const std::vector<std::string> &tried, time_point now)
+{
+    const auto usable
+        = [&](const minion_state &minion) { return !isLeaving(minion, now) && hasSlot(minion); };
+    auto indexes = indexesOf(state, [&](const minion_state &minion) {
+        return usable(minion) && isHealthy(minion, now) && !wasTried(minion, tried);
+    });
+    if (indexes.empty())
+        indexes = indexesOf(state, [&](const minion_state &minion) {
+            return usable(minion) && now >= minion.pausedUntil && !wasTried(minion, tried);
+        });
+    if (indexes.empty() && !tried.empty())
+        indexes = indexesOf(
+            state, [&](const minion_state &minion) { return usable(minion) && now >= minion.pausedUntil; });
+    if (indexes.empty())
+        return std::nullopt;
+    return pick(state, rules.policy, indexes);
+}
+
+void recordAttempt(minion_state &minion, const routing_rules &rules, attempt_result result,
+                   milliseconds elapsed, time_point now)
+{
+    switch (result) {
+    case attempt_result::answered: {
+        const auto sample = static_cast<double>(elapsed.count());
+        minion.typicalMs
+            = minion.typicalMs == 0 ? sample : minion.typicalMs + averageWeight * (sample - minion.typicalMs);
+        minion.failuresInRow = 0;
+        minion.ejections = 0;
+        break;
+    }
+    case attempt_result::refusedSlots:
+        minion.pausedUntil = now + rules.refusalPause;
+        break;
+    case attempt_result::refusedLeaving:
+        minion.leavingUntil = now + rules.leavingMemory;
+        break;
+    case attempt_result::failed:
+        recordFailure(minion, rules, now);
+        break;
+    }
+}
+
+void earnRetry(routing_state &state, const routing_rules &rules)
+{
+    state.retryTokens = std::min(rules.retryBurst, state.retryTokens + rules.retryShare);
+}
+
+bool spendRetry(routing_state &state)
+{
+    if (state.retryTokens < 1)
+        return false;
+    state.retryTokens -= 1;
+    return true;
+}
+
+milliseconds attemptTimeout(const minion_state &minion, const routing_rules &rules, bool idempotent,
+                            milliseconds untilDeadline)
+{
+    if (!idempotent || minion.typicalMs == 0)
+        return idempotent ? std::max(milliseconds(1), untilDeadline / 2) : untilDeadline;
+    const milliseconds patience(std::llround(minion.typicalMs * rules.patience));
+    return std::min(untilDeadline, std::max(rules.shortestAttempt, patience));
+}
+
+void updateMinions(routing_state &state, const std::vector<listed_minion> &listed)
+{
+    for (minion_state &minion : state.minions)
+        minion.leaving = true;
+    for (const listed_minion &item : listed) {
+        const auto known = std::find_if(state.minions.begin(), state.minions.end(),
+                                        [&](const minion_state &minion) { return minion.id == item.id; });
+        minion_state &minion = known == state.minions.end() ? state.minions.emplace_back() : *known;
+        if (minion.address != item.address)
+            minion = minion_state {};
+        minion.id = item.id;
+        minion.address = item.address;
+        minion.failureDomain = item.failureDomain;
+        minion.leaving = item.leaving;
+        minion.slots = item.slots;
+    }
+    std::erase_if(state.minions,
+                  [](const minion_state &minion) { return minion.leaving && minion.inFlight == 0; });
+}
+
+} // namespace almond::routing
--- /dev/null
+++ b/src/routing/routing_state.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "kernel/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace almond::routing {
+
+using kernel::milliseconds;
+using kernel::time_point;
+
+//! How a gateway picks among the minions that may take a request.
+enum class routing_policy { random, roundRobin, twoChoices, leastLoaded };
+
+//! Returns the policy that the settings call \a name.
+routing_policy policyNamed(std::string_view name);
+
+//! Bounds of routing; the defaults are those of the product.
+struct routing_rules
+{
+    routing_policy policy = routing_policy::leastLoaded;
+    //! Failures in a row after which a minion is left out.
+    int ejectAfter = 3;
+    milliseconds firstEjection {1000};
+    milliseconds longestEjection {30'000};
+    //! A minion that refused for lack of a slot is left out for this long while others are free.
+    milliseconds refusalPause {5};
+    //! A minion that said it was leaving gets nothing for this long, until the host list says so too.
+    milliseconds leavingMemory {30'000};
+    //! An attempt at an idempotent request is given up after this many typical answer times.
+    double patience = 8;
+    milliseconds shortestAttempt {250};
+    //! Retries that may reach a minion, as a share of first attempts.
+    double retryShare = 0.1;
+    double retryBurst = 20;
+};
+
+//! What a gateway knows of one minion.
+struct minion_state
+{
+    std::string id;
+    std::string address;
+    std::string failureDomain;
+    bool leaving = false;
+    //! Requests of this gateway at the minion.
+    std::int64_t inFlight = 0;
+    std::int64_t slots = 0;
+    int failuresInRow = 0;
+    int ejections = 0;
+    time_point ejectedUntil {};
+    time_point pausedUntil {};
+    time_point leavingUntil {};
+    double typicalMs = 0; // moving average of answer times; 0 before the first
+};
+
+//! All minions of one service as one gateway sees them.
+struct routing_state
+{
+    std::vector<minion_state> minions;
+    std::size_t nextInTurn = 0;
+    double retryTokens = 0;
+    std::mt19937_64 random {1};
+};
+
+//! How an attempt at a minion ended, for the minion's record.
+enum class attempt_result { answered, refusedSlots, refusedLeaving, failed };
+
+//! Returns the index of the minion for the next attempt; none when every one is full, leaving or excluded.
+//! Minions in \a tried are used again only if no other may take the request.
+std::optional<std::size_t> chooseMinion(routing_state &state, const routing_rules &rules,
+                                        const std::vector<std::string> &tried, time_point now);
+
+//! Records how an attempt at \a minion ended after \a elapsed.
+void recordAttempt(minion_state &minion, const routing_rules &rules, attempt_result result,
+                   milliseconds elapsed, time_point now);
+
+//! Earns the retry budget for one first attempt.
+void earnRetry(routing_state &state, const routing_rules &rules);
+//! Spends one retry; false when the budget is used up.
+bool spendRetry(routing_state &state);
+
+//! How long an attempt may take: until the deadline, or less for an idempotent request at a minion
+//! whose answers usually come sooner.
+milliseconds attemptTimeout(const minion_state &minion, const routing_rules &rules, bool idempotent,
+                            milliseconds untilDeadline);
+
+//! One minion as the host list gives it.
+struct listed_minion
+{
+    std::string id;
+    std::string address;
+    std::string failureDomain;
+    bool leaving = false;
+    std::int64_t slots = 0;
+};
+
+//! Takes the list up; what is known of minions that stay is kept. A minion that is no longer listed stays
+//! as leaving while it has requests in flight.
+void updateMinions(routing_state &state, const std::vector<listed_minion> &listed);
+
+} // namespace almond::routing
--- /dev/null
+++ b/src/settings/findings.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <iterator>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace almond::settings {
+
+//! One thing that is wrong with an input, and where: FILE:LINE or a JSON path.
+struct finding
+{
+    std::string place;
+    std::string message;
+
+    bool operator==(const finding &) const = default;
+};
+
+//! All that is wrong with one input; empty when it is right.
+using findings = std::vector<finding>;
+
+//! Appends \a more to \a all.
+inline void append(findings &all, const findings &more)
+{
+    std::copy(more.begin(), more.end(), std::back_inserter(all));
+}
+
+//! Writes one line a finding, as "place: message".
+inline void print(std::ostream &out, const findings &all)
+{
+    for (const finding &item : all)
+        out << item.place << ": " << item.message << '\n';
+}
+
+} // namespace almond::settings
--- /dev/null
+++ b/src/settings/object_reader.cpp
@@ -0,0 +1,224 @@
+#include "settings/object_reader.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace almond::settings {
+
+object_reader::object_reader(const json &object, std::string path, findings &found)
+    : m_object(object)
+    , m_path(std::move(path))
+    , m_found(found)
+{
+    if (!m_object.is_object())
+        m_found.push_back({m_path.empty() ? "/" : m_path, "must be an object"});
+}
+
+std::string object_reader::pathOf(std::string_view key) const
+{
+    return m_path + "/" + std::string(key);
+}
+
+const json *object_reader::member(std::string_view key)
+{
+    m_read.emplace(key);
+    if (!m_object.is_object())
+        return nullptr;
+    const auto found = m_object.find(std::string(key));
+    return found == m_object.end() ? nullptr : &*found;
+}
+
+void object_reader::report(std::string_view key, std::string message)
+{
+    m_found.push_back({pathOf(key), std::move(message)});
+}
+
+std::string object_reader::requiredString(std::string_view key)
+{
+    m_described.push_back({pathOf(key), "required", "text"});
+    const json *value = member(key);
+    if (!value) {
+        report(key, "is missing");
+        return {};
+    }
+    if (!value->is_string() || value->get_ref<const std::string &>().empty()) {
+        report(key, "must be a non-empty string");
+        return {};
+    }
+    return value->get<std::string>();
+}
+
+std::string object_reader::string(std::string_view key, std::string_view fallback)
+{
+    m_described.push_back({pathOf(key), std::string(fallback), "text"});
+    const json *value = member(key);
+    if (!value)
+        return std::string(fallback);
+    if (!value->is_string()) {
+        report(key, "must be a string");
+        return std::string(fallback);
+    }
+    return value->get<std::string>();
+}
+
+std::string object_reader::choice(std::string_view key, std::string_view fallback,
+                                  const std::set<std::string> &allowed)
+{
+    std::string listed;
+    for (const std::string &option : allowed)
+        listed += (listed.empty() ? "" : ", ") + option;
+    const std::string value = string(key, fallback);
+    m_described.back().limits = listed;
+    if (!allowed.contains(value))
+        report(key, "is \"" + value + "\", must be one of: " + listed);
+    return value;
+}
+
+std::string object_reader::requiredAddress(std::string_view key)
+{
+    const std::string value = requiredString(key);
+    m_described.back().limits = "IP:PORT";
+    if (!value.empty() && !isAddress(value))
+        report(key, "is \"" + value + "\", must be an IP number and a port, such as 127.0.0.1:8080");
+    return value;
+}
+
+std::vector<std::string> object_reader::addresses(std::string_view key)
+{
+    m_described.push_back({pathOf(key), "[]", "list of IP:PORT"});
+    std::vector<std::string> result;
+    const json *value = member(key);
+    if (!value)
+        return result;
+    if (!value->is_array()) {
+        report(key, "must be a list of addresses");
+        return result;
+    }
+    for (std::size_t index = 0; index < value->size(); ++index) {
+        const json &item = (*value)[index];
+        if (item.is_string() && isAddress(item.get_ref<const std::string &>()))
+            result.push_back(item.get<std::string>());
+        else
+            m_found.push_back({pathOf(key) + "/" + std::to_string(index), "must be an IP number and a port"});
+    }
+    return result;
+}
+
+std::int64_t object_reader::checkedInteger(std::string_view key, const json &value, std::int64_t fallback,
+                                           integer_range range)
+{
+    if (!value.is_number_integer()) {
+        report(key, "must be a whole number");
+        return fallback;
+    }
+    const auto number = value.get<std::int64_t>();
+    if (number < range.minimum || number > range.maximum) {
+        report(key,
+               "is " + std::to_string(number) + ", must be from " + std::to_string(range.minimum) + " to "
+                   + std::to_string(range.maximum));
+        return fallback;
+    }
+    return number;
+}
+
+std::int64_t object_reader::requiredInteger(std::string_view key, integer_range range)
+{
+    m_described.push_back(
+        {pathOf(key), "required", std::to_string(range.minimum) + " to " + std::to_string(range.maximum)});
+    const json *value = member(key);
+    if (!value) {
+        report(key, "is missing");
+        return range.minimum;
+    }
+    return checkedInteger(key, *value, range.minimum, range);
+}
+
+std::int64_t object_reader::integer(std::string_view key, std::int64_t fallback, integer_range range)
+{
+    m_described.push_back({pathOf(key), std::to_string(fallback),
+                           std::to_string(range.minimum) + " to " + std::to_string(range.maximum)});
+    const json *value = member(key);
+    return value ? checkedInteger(key, *value, fallback, range) : fallback;
+}
+
+bool object_reader::boolean(std::string_view key, bool fallback)
+{
+    m_described.push_back({pathOf(key), fallback ? "true" : "false", "true or false"});
+    const json *value = member(key);
+    if (!value)
+        return fallback;
+    if (!value->is_boolean()) {
+        report(key, "must be true or false");
+        return fallback;
+    }
+    return value->get<bool>();
+}
+
+const json &object_reader::object(std::string_view key)
+{
+    static const json empty = json::object();
+    const json *value = member(key);
+    if (!value)
+        return empty;
+    if (!value->is_object()) {
+        report(key, "must be an object");
+        return empty;
+    }
+    return *value;
+}
+
+void object_reader::finish()
+{
+    if (!m_object.is_object())
+        return;
+    for (const auto &[key, value] : m_object.items()) {
+        if (!m_read.contains(key))
+            report(key, "is not a known setting");
+    }
+}
+
+bool isAddress(std::string_view address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string_view::npos)
+        return false;
+    boost::system::error_code error;
+    boost::asio::ip::make_address(std::string(address.substr(0, colon)), error);
+    if (error)
+        return false;
+    const std::string_view digits = address.substr(colon + 1);
+    int port = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    return parsed.ec == std::errc() && parsed.ptr == digits.data() + digits.size() && port >= 1
+        && port <= 65535;
+}
+
+json parseWithComments(std::string_view text, std::string_view name, findings &found)
+{
+    try {
+        return json::parse(text, nullptr, true, true);
+    } catch (const json::parse_error &error) {
+        const auto end = text.begin() + static_cast<std::ptrdiff_t>(std::min(error.byte, text.size()));
+        const auto line = 1 + std::count(text.begin(), end, '\n');
+        found.push_back({std::string(name) + ":" + std::to_string(line), error.what()});
+        return json::object();
+    }
+}
+
+json readFile(const std::string &path, findings &found)
+{
+    std::ifstream file(path);
+    if (!file) {
+        found.push_back({path, "can't be read"});
+        return json::object();
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseWithComments(text.str(), path, found);
+}
+
+} // namespace almond::settings
--- /dev/null
+++ b/src/store/host_list.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "store/http_store.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace almond::store {
+
+//! This process's copy of the platform's host list.
+class host_list
+{
+public:
+    explicit host_list(http_store &platform, kernel::milliseconds pollInterval);
+
+    //! Polls until the process ends.
+    kernel::task<void> run();
+    //! Asks once for what changed.
+    kernel::task<void> poll();
+
+    const std::map<std::string, listed_host> &hosts() const { return m_hosts; }
+    //! Calls \a listener after each change.
+    void onChange(std::function<void()> listener) { m_listeners.push_back(std::move(listener)); }
+
+private:
+    http_store &m_platform;
+    kernel::milliseconds m_pollInterval;
+    std::int64_t m_revision = 0;
+    std::map<std::string, listed_host> m_hosts;
+    std::vector<std::function<void()>> m_listeners;
+};
+
+} // namespace almond::store
--- /dev/null
+++ b/src/store/journal.cpp
@@ -0,0 +1,253 @@
+#include "store/journal.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace almond::store {
+
+using kernel::task;
+
+namespace {
+
+constexpr std::size_t snapshotPartBytes = 512UL * 1024;
+
+std::string paddedNumber(std::uint64_t number)
+{
+    std::array<char, 24> text {};
+    std::snprintf(text.data(), text.size(), "%014llu", static_cast<unsigned long long>(number));
+    return text.data();
+}
+
+std::string headKey(const std::string &name)
+{
+    return name + "/head";
+}
+
+std::string snapshotPrefix(const std::string &name)
+{
+    return name + "/snapshot/";
+}
+
+std::string snapshotKey(const std::string &name, std::uint64_t index, std::size_t part)
+{
+    return snapshotPrefix(name) + paddedNumber(index) + "/" + paddedNumber(part);
+}
+
+std::string encode(const journal_entry &entry)
+{
+    return json {{"writer", entry.writer}, {"submission", entry.submission}, {"body", entry.body}}.dump();
+}
+
+journal_entry decode(std::uint64_t index, const std::string &value)
+{
+    const json parsed = json::parse(value);
+    return {index, parsed.at("writer"), parsed.at("submission"), parsed.at("body")};
+}
+
+std::uint64_t indexOfKey(const std::string &key)
+{
+    return std::stoull(key.substr(key.rfind('/') + 1));
+}
+
+struct journal_head
+{
+    store_status status = store_status::unavailable;
+    std::uint64_t snapshotIndex = 0;
+    std::size_t parts = 0;
+    std::int64_t revision = 0;
+};
+
+void decodeHead(const std::string &value, journal_head &head)
+{
+    const json parsed = json::parse(value);
+    head.snapshotIndex = parsed.at("index");
+    head.parts = parsed.at("parts");
+}
+
+task<journal_head> readHead(const store_api &store, const std::string &name)
+{
+    const store_reply reply = co_await store.get(headKey(name));
+    journal_head head;
+    head.status = reply.status;
+    head.revision = reply.revision;
+    if (reply.status == store_status::ok)
+        decodeHead(reply.value, head);
+    co_return head;
+}
+
+//! A write below the snapshot index is void: the entry that stood there was removed, not absent.
+task<append_result> confirmAboveSnapshot(const store_api &store, const std::string &name, std::uint64_t index)
+{
+    const journal_head head = co_await readHead(store, name);
+    if (head.status == store_status::unavailable)
+        co_return append_result {append_status::unsettled, std::nullopt};
+    if (head.snapshotIndex >= index)
+        co_return append_result {append_status::taken, std::nullopt};
+    co_return append_result {append_status::committed, std::nullopt};
+}
+
+task<append_result> settle(const store_api &store, const std::string &name, const journal_entry &entry)
+{
+    const store_reply reply = co_await store.get(entryKey(name, entry.index));
+    if (reply.status != store_status::ok)
+        co_return append_result {append_status::unsettled, std::nullopt};
+    journal_entry standing = decode(entry.index, reply.value);
+    if (standing.submission != entry.submission)
+        co_return append_result {append_status::taken, std::move(standing)};
+    co_return co_await confirmAboveSnapshot(store, name, entry.index);
+}
+
+task<append_result> tryAppend(const store_api &store, const std::string &name, const journal_entry &entry,
+                              const std::string &encoded)
+{
+    const store_reply reply = co_await store.create(entryKey(name, entry.index), encoded, "");
+    if (reply.status == store_status::ok)
+        co_return co_await confirmAboveSnapshot(store, name, entry.index);
+    co_return co_await settle(store, name, entry);
+}
+
+//! Reads the parts of one snapshot; an empty value when one of them is gone.
+task<store_reply> readSnapshotText(const store_api &store, const std::string &name, const journal_head &head)
+{
+    store_reply whole;
+    for (std::size_t part = 0; part < head.parts; ++part) {
+        const store_reply reply = co_await store.get(snapshotKey(name, head.snapshotIndex, part));
+        if (reply.status != store_status::ok)
+            co_return reply;
+        whole.value += reply.value;
+    }
+    whole.status = store_status::ok;
+    co_return whole;
+}
+
+task<void> removeRange(const store_api &store, key_range range)
+{
+    const range_reply old = co_await store.range(std::move(range));
+    for (const stored_item &item : old.items)
+        co_await store.remove(item.key);
+}
+
+task<store_reply> moveHead(const store_api &store, const std::string &name, const journal_head &head,
+                           std::uint64_t index, std::size_t parts)
+{
+    const std::string value = json {{"index", index}, {"parts", parts}}.dump();
+    if (head.status == store_status::absent)
+        co_return co_await store.create(headKey(name), value, "");
+    co_return co_await store.replace(headKey(name), value, head.revision);
+}
+
+} // namespace
+
+key_range prefixRange(const std::string &prefix)
+{
+    std::string end = prefix;
+    end.push_back('\x7f');
+    return key_range(prefix, end);
+}
+
+std::string entryKey(const std::string &name, std::uint64_t index)
+{
+    return name + "/entry/" + paddedNumber(index);
+}
+
+task<append_result> appendEntry(const store_api &store, std::string name, journal_entry entry,
+                                append_limits limits)
+{
+    const std::string encoded = encode(entry);
+    append_result result;
+    for (int attempt = 0; attempt < limits.attempts; ++attempt) {
+        result = co_await tryAppend(store, name, entry, encoded);
+        if (result.status != append_status::unsettled)
+            co_return result;
+        co_await kernel::sleepFor(limits.retryDelay);
+    }
+    co_return result;
+}
+
+task<journal_tail> readTail(const store_api &store, std::string name, std::uint64_t first, std::size_t limit)
+{
+    // The head key sorts after every entry key, so one range holds both.
+    const std::string afterHead = headKey(name) + "\x01";
+    key_range wanted(entryKey(name, first), afterHead, limit);
+    const range_reply reply = co_await store.range(std::move(wanted));
+    journal_tail tail;
+    tail.status = reply.status;
+    std::uint64_t expected = first;
+    for (const stored_item &item : reply.items) {
+        if (item.key == headKey(name)) {
+            journal_head head;
+            decodeHead(item.value, head);
+            tail.snapshotIndex = head.snapshotIndex;
+        } else if (indexOfKey(item.key) == expected) {
+            tail.entries.push_back(decode(expected, item.value));
+            ++expected;
+        } else if (tail.entries.empty() && tail.snapshotIndex == 0) {
+            // Entries are removed only once a snapshot covers them.
+            tail.snapshotIndex = indexOfKey(item.key) - 1;
+        }
+    }
+    co_return tail;
+}
+
+task<journal_contents> loadJournal(const store_api &store, std::string name)
+{
+    journal_contents contents;
+    const journal_head head = co_await readHead(store, name);
+    contents.status = head.status;
+    if (head.status == store_status::unavailable)
+        co_return contents;
+    if (head.status == store_status::ok) {
+        const store_reply text = co_await readSnapshotText(store, name, head);
+        contents.status = text.status == store_status::ok ? store_status::ok : store_status::unavailable;
+        if (text.status != store_status::ok)
+            co_return contents;
+        contents.snapshot = json::parse(text.value);
+        contents.snapshotIndex = head.snapshotIndex;
+    }
+    std::uint64_t next = contents.snapshotIndex + 1;
+    while (true) {
+        const journal_tail tail = co_await readTail(store, name, next);
+        contents.status = tail.status;
+        // A snapshot that moved on meanwhile may have removed entries that were not read yet.
+        if (tail.snapshotIndex > contents.snapshotIndex)
+            contents.status = store_status::unavailable;
+        if (contents.status != store_status::ok || tail.entries.empty())
+            co_return contents;
+        next = tail.entries.back().index + 1;
+        std::copy(tail.entries.begin(), tail.entries.end(), std::back_inserter(contents.entries));
+    }
+}
+
+task<bool> writeSnapshot(const store_api &store, std::string name, std::uint64_t index, json state)
+{
+    const journal_head head = co_await readHead(store, name);
+    if (head.status == store_status::unavailable || head.snapshotIndex >= index)
+        co_return false;
+    const std::string text = state.dump();
+    std::size_t parts = 0;
+    for (std::size_t offset = 0; offset < text.size(); offset += snapshotPartBytes) {
+        const std::string part = text.substr(offset, snapshotPartBytes);
+        const std::string key = snapshotKey(name, index, parts);
+        // A part that stands already was left by a writer that ended before it moved the head.
+        const store_reply existing = co_await store.create(key, part, "");
+        if (existing.status == store_status::conflict)
+            co_await store.remove(key);
+        if (existing.status == store_status::conflict
+            && (co_await store.create(key, part, "")).status != store_status::ok)
+            co_return false;
+        if (existing.status == store_status::unavailable)
+            co_return false;
+        ++parts;
+    }
+    const store_reply moved = co_await moveHead(store, name, head, index, parts);
+    if (moved.status != store_status::ok)
+        co_return false;
+    key_range entries(entryKey(name, 0), entryKey(name, index + 1));
+    co_await removeRange(store, std::move(entries));
+    key_range snapshots(snapshotPrefix(name), snapshotKey(name, index, 0));
+    co_await removeRange(store, std::move(snapshots));
+    co_return true;
+}
+
+} // namespace almond::store
--- /dev/null
+++ b/tests/scenario/process_set.cpp
@@ -0,0 +1,109 @@
+#include "tests/scenario/process_set.h"
+
+#include <csignal>
+#include <fstream>
+
+namespace almond::scenario {
+
+using kernel::task;
+
+namespace {
+
+constexpr int endTimeoutMs = 5000;
+constexpr int startTimeoutMs = 10'000;
+constexpr kernel::milliseconds pollInterval {10};
+constexpr kernel::milliseconds commandLimit {60'000};
+
+QStringList toQt(const std::vector<std::string> &arguments)
+{
+    QStringList list;
+    for (const std::string &argument : arguments)
+        list.append(QString::fromStdString(argument));
+    return list;
+}
+
+} // namespace
+
+process_set::process_set(std::string programs, std::string directory)
+    : m_programs(std::move(programs))
+    , m_directory(std::move(directory))
+{
+}
+
+process_set::~process_set()
+{
+    for (const auto &[name, process] : m_processes) {
+        if (process->state() == QProcess::NotRunning)
+            continue;
+        ::kill(static_cast<pid_t>(process->processId()), SIGCONT);
+        process->kill();
+    }
+    for (const auto &[name, process] : m_processes)
+        process->waitForFinished(endTimeoutMs);
+}
+
+void process_set::start(const process_plan &plan)
+{
+    m_plans[plan.name] = plan;
+    if (!plan.settings.is_null())
+        std::ofstream(m_directory + "/" + plan.name + ".json") << plan.settings.dump(2) << '\n';
+    auto process = std::make_unique<QProcess>();
+    process->setStandardErrorFile(QString::fromStdString(m_directory + "/" + plan.name + ".log"),
+                                  QIODevice::Append);
+    process->start(QString::fromStdString(m_programs + "/" + plan.program), toQt(plan.arguments));
+    process->waitForStarted(startTimeoutMs);
+    m_processes[plan.name] = std::move(process);
+}
+
+void process_set::startAgain(const std::string &name)
+{
+    start(process_plan(m_plans.at(name)));
+}
+
+void process_set::signal(const std::string &name, int signal)
+{
+    const auto &process = m_processes.at(name);
+    if (process->state() == QProcess::Running)
+        ::kill(static_cast<pid_t>(process->processId()), signal);
+}
+
+bool process_set::isRunning(const std::string &name) const
+{
+    const auto found = m_processes.find(name);
+    return found != m_processes.end() && found->second->state() == QProcess::Running;
+}
+
+task<bool> process_set::awaitEnd(std::string name, kernel::milliseconds limit)
+{
+    const auto end = kernel::systemNow() + limit;
+    while (isRunning(name) && kernel::systemNow() < end)
+        co_await kernel::sleepFor(pollInterval);
+    co_return !isRunning(name);
+}
+
+std::string process_set::output(const std::string &name)
+{
+    return m_processes.at(name)->readAllStandardOutput().toStdString();
+}
+
+task<command_result> process_set::run(std::string program, std::vector<std::string> arguments)
+{
+    QProcess process;
+    process.start(QString::fromStdString(m_programs + "/" + program), toQt(arguments));
+    process.waitForStarted(startTimeoutMs);
+    const auto end = kernel::systemNow() + commandLimit;
+    while (process.state() != QProcess::NotRunning && kernel::systemNow() < end)
+        co_await kernel::sleepFor(pollInterval);
+    command_result result;
+    if (process.state() != QProcess::NotRunning) {
+        process.kill();
+        process.waitForFinished(endTimeoutMs);
+        co_return result;
+    }
+    result.status = process.exitCode();
+    result.output
+        = process.readAllStandardOutput().toStdString() + process.readAllStandardError().toStdString();
+    co_return result;
+}
+
+} // namespace almond::scenario
--- /dev/null
+++ b/tests/scenario/scenario_runner.cpp
@@ -0,0 +1,508 @@
+#include "tests/scenario/scenario_runner.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+namespace almond::scenario {
+
+using kernel::milliseconds;
+using kernel::task;
+
+namespace {
+
+constexpr milliseconds pollInterval {50};
+constexpr milliseconds readyLimit {30'000};
+constexpr milliseconds callTimeout {3000};
+constexpr milliseconds loadLimit {180'000};
+constexpr std::size_t longestComplaint = 600;
+constexpr std::int64_t defaultLimitMs = 60'000;
+
+std::string joined(const std::vector<std::string> &items)
+{
+    std::string text;
+    for (const std::string &item : items)
+        text += (text.empty() ? "" : ",") + item;
+    return text;
+}
+
+int signalNamed(const std::string &name)
+{
+    static const std::map<std::string, int> signals
+        = {{"kill", SIGKILL}, {"freeze", SIGSTOP}, {"thaw", SIGCONT}, {"term", SIGTERM}};
+    return signals.at(name);
+}
+
+//! Builds an argument list; a braced list inside an awaited call is refused by this compiler.
+template<typename... Text>
+std::vector<std::string> words(Text &&...text)
+{
+    std::vector<std::string> list;
+    (list.emplace_back(std::forward<Text>(text)), ...);
+    return list;
+}
+
+bool isEnded(const json &job)
+{
+    static const std::set<std::string> final = {"done", "failed", "cancelled", "impossible"};
+    return final.contains(job.at("phase").get<std::string>());
+}
+
+} // namespace
+
+scenario_runner::scenario_runner(boost::asio::io_context &context, runner_options options, json document)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_document(std::move(document))
+    , m_topology(readTopology(m_document.value("topology", json::object())))
+    , m_addresses(m_options.firstPort)
+    , m_processes(m_options.programs, m_options.directory)
+    , m_pool(context, http::pool_limits {})
+{
+}
+
+task<int> scenario_runner::run()
+{
+    bool good = co_await startAll();
+    for (const json &document : m_document.at("steps")) {
+        if (good)
+            good = co_await runStep(document);
+    }
+    const bool held = report();
+    co_return good &&held ? 0 : 1;
+}
+
+task<bool> scenario_runner::startAll()
+{
+    std::filesystem::create_directories(m_options.directory);
+    const auto seed = m_document.value("seed", std::uint64_t {1});
+    m_plans = processesOf(m_topology, m_addresses, m_options.directory, seed);
+    for (const process_plan &plan : m_plans)
+        m_processes.start(plan);
+    const std::string file = m_options.directory + "/config-1.json";
+    std::ofstream(file) << firstConfig(m_topology).dump(2) << '\n';
+    const command_result first = co_await control(words("config", "patch", "--base", "0", "--file", file));
+    if (first.status != 0)
+        co_return complain("config version 1 was not accepted: " + first.output);
+    say("started " + std::to_string(m_plans.size()) + " processes, config version 1 accepted");
+    co_return co_await awaitReady();
+}
+
+//! Ready means that each gateway knows all minions and each cell has an owner that knows its workers.
+task<bool> scenario_runner::awaitReady()
+{
+    const auto end = kernel::systemNow() + readyLimit;
+    while (kernel::systemNow() < end) {
+        std::size_t knownMinions = 0;
+        for (const std::string &address :
+             addressesOf(m_addresses, "gateway", m_topology.gateways, "operators")) {
+            const json state = co_await call(address, http::verb::get, "/dump", {});
+            if (state.is_object() && state.contains("services"))
+                knownMinions += state["services"]
+                                    .value(m_topology.service, json::object())
+                                    .value("minions", json::array())
+                                    .size();
+        }
+        std::size_t joinedWorkers = 0;
+        for (const std::string &address :
+             addressesOf(m_addresses, "scheduler", m_topology.schedulers, "operators")) {
+            const json state = co_await call(address, http::verb::get, "/dump", {});
+            if (!state.is_object())
+                continue;
+            for (const auto &[name, cell] : state["scheduler"]["cells"].items()) {
+                for (const auto &[id, worker] : cell["workers"].items())
+                    joinedWorkers += worker["capacity"].is_object() ? 1 : 0;
+            }
+        }
+        if (knownMinions >= m_topology.gateways * m_topology.minions && joinedWorkers >= m_topology.workers)
+            co_return true;
+        co_await kernel::sleepFor(pollInterval);
+    }
+    co_return complain("the processes were not ready in time");
+}
+
+task<bool> scenario_runner::runStep(json document)
+{
+    static const std::map<std::string, step> steps = {{"load", &scenario_runner::stepLoad},
+                                                      {"awaitLoad", &scenario_runner::stepAwaitLoad},
+                                                      {"submit", &scenario_runner::stepSubmit},
+                                                      {"awaitJobs", &scenario_runner::stepAwaitJobs},
+                                                      {"cancel", &scenario_runner::stepCancel},
+                                                      {"patch", &scenario_runner::stepPatch},
+                                                      {"race", &scenario_runner::stepRace},
+                                                      {"withdraw", &scenario_runner::stepWithdraw},
+                                                      {"return", &scenario_runner::stepReturn},
+                                                      {"signal", &scenario_runner::stepSignal},
+                                                      {"start", &scenario_runner::stepStart},
+                                                      {"awaitEnd", &scenario_runner::stepAwaitEnd},
+                                                      {"faults", &scenario_runner::stepFaults},
+                                                      {"hold", &scenario_runner::stepHold},
+                                                      {"awaitVersion", &scenario_runner::stepAwaitVersion}};
+    for (const auto &[name, argument] : document.items()) {
+        say(name + " " + argument.dump());
+        const auto found = steps.find(name);
+        if (found == steps.end())
+            co_return complain("unknown step: " + name);
+        const step action = found->second;
+        const bool held = co_await (this->*action)(argument);
+        if (!held)
+            co_return false;
+    }
+    co_return true;
+}
+
+task<bool> scenario_runner::stepLoad(json argument)
+{
+    const std::string name = argument.value("name", "load");
+    process_plan plan {"caller-" + name, "standin-caller", {}, {}};
+    plan.arguments
+        = {"--gateways",     joined(addressesOf(m_addresses, "gateway", m_topology.gateways, "listen")),
+           "--service",      m_topology.service,
+           "--name",         name,
+           "--requests",     std::to_string(argument.value("requests", 1000)),
+           "--rate",         std::to_string(argument.value("rate", 200.0)),
+           "--posts",        std::to_string(argument.value("posts", 0.2)),
+           "--keyed",        std::to_string(argument.value("keyed", 0.0)),
+           "--answer-bytes", std::to_string(argument.value("answerBytes", 0)),
+           "--record",       m_options.directory + "/caller-" + name + ".jsonl"};
+    m_processes.start(plan);
+    m_loads[name] = json::object();
+    co_return true;
+}
+
+task<bool> scenario_runner::stepAwaitLoad(json argument)
+{
+    const std::string name = argument.is_string() ? argument.get<std::string>() : "load";
+    const bool ended = co_await m_processes.awaitEnd("caller-" + name, loadLimit);
+    if (!ended)
+        co_return complain("load " + name + " did not end");
+    const json summary = json::parse(m_processes.output("caller-" + name), nullptr, false);
+    if (!summary.is_object())
+        co_return complain("load " + name + " gave no summary");
+    m_loads[name] = summary;
+    say("load " + name + ": " + summary.dump());
+    co_return true;
+}
+
+task<bool> scenario_runner::stepSubmit(json argument)
+{
+    const std::string prefix = argument.value("name", "job");
+    json jobs = json::array();
+    for (int number = 0; number < argument.value("count", 1); ++number) {
+        json job = argument.value("job", json::object());
+        job["id"] = prefix + "-" + std::to_string(number);
+        job["team"] = job.value("team", "moderation");
+        job["millicores"] = job.value("millicores", 1000);
+        job["memoryMb"] = job.value("memoryMb", 500);
+        jobs.push_back(std::move(job));
+    }
+    const std::string file = m_options.directory + "/jobs-" + std::to_string(m_files++) + ".json";
+    std::ofstream(file) << jobs.dump() << '\n';
+    // An unknown result is asked for again with the same ids: a job is admitted once.
+    command_result result;
+    for (int attempt = 0; attempt < argument.value("attempts", 10); ++attempt) {
+        result = co_await control(words("job", "submit", "--file", file, "--json"));
+        if (result.status == 0)
+            break;
+        co_await kernel::sleepFor(pollInterval);
+    }
+    if (result.status != argument.value("status", 0))
+        co_return complain("jobs were not accepted: " + result.output);
+    for (const json &job : jobs) {
+        if (result.status != 0)
+            break;
+        const bool finishes = job.value("class", "batch") == "batch" && argument.value("mustFinish", true);
+        record("job-accepted", {{"job", job.at("id")}, {"mustFinish", finishes}});
+        if (finishes)
+            m_unfinished.insert(job.at("id").get<std::string>());
+    }
+    co_return true;
+}
+
+task<json> scenario_runner::listJobs()
+{
+    const command_result result = co_await control(words("job", "list", "--json"));
+    co_return json::parse(result.output, nullptr, false);
+}
+
+task<bool> scenario_runner::stepAwaitJobs(json argument)
+{
+    const milliseconds limit(argument.value("limitMs", defaultLimitMs));
+    const auto end = kernel::systemNow() + limit;
+    std::size_t left = m_unfinished.size();
+    while (kernel::systemNow() < end) {
+        const json answer = co_await listJobs();
+        std::size_t ended = 0;
+        if (answer.is_object()) {
+            for (const json &job : answer.value("jobs", json::array()))
+                ended += m_unfinished.contains(job.at("id")) && isEnded(job) ? 1 : 0;
+        }
+        left = m_unfinished.size() - std::min(ended, m_unfinished.size());
+        if (left == 0)
+            co_return true;
+        co_await kernel::sleepFor(pollInterval);
+    }
+    co_return complain(std::to_string(left) + " jobs did not end in time");
+}
+
+task<bool> scenario_runner::stepCancel(json argument)
+{
+    std::vector<std::string> arguments = {"job", "cancel"};
+    const std::string prefix = argument.value("name", "job");
+    for (int number = 0; number < argument.value("count", 1); ++number) {
+        arguments.push_back(prefix + "-" + std::to_string(number));
+        m_unfinished.erase(arguments.back());
+        record("cancel-asked", {{"job", arguments.back()}});
+    }
+    const command_result result = co_await control(arguments);
+    if (result.status != 0 && result.status != 3)
+        co_return complain("cancel failed: " + result.output);
+    co_return true;
+}
+
+task<bool> scenario_runner::stepPatch(json argument)
+{
+    const std::string file = m_options.directory + "/patch-" + std::to_string(m_files++) + ".json";
+    std::ofstream(file) << argument.at("patch").dump() << '\n';
+    std::vector<std::string> arguments = {"config", "patch", "--file", file};
+    if (argument.contains("base")) {
+        arguments.emplace_back("--base");
+        arguments.push_back(std::to_string(argument.at("base").get<int>()));
+    }
+    const command_result result = co_await control(arguments);
+    if (result.status != argument.value("status", 0))
+        co_return complain("patch ended with status " + std::to_string(result.status) + ": " + result.output);
+    const std::string expected = argument.value("says", "");
+    if (result.output.find(expected) == std::string::npos)
+        co_return complain("patch said: " + result.output);
+    co_return true;
+}
+
+//! Several operators submit against the same version at once; exactly one may win.
+task<bool> scenario_runner::stepRace(json argument)
+{
+    const int operators = argument.value("operators", 3);
+    const command_result shown = co_await control(words("config", "show", "--json"));
+    const json current = json::parse(shown.output, nullptr, false);
+    if (!current.is_object())
+        co_return complain("config can't be shown: " + shown.output);
+    const std::string base = std::to_string(current.at("version").get<int>());
+    std::vector<int> statuses;
+    for (int number = 0; number < operators; ++number) {
+        const std::string file = m_options.directory + "/race-" + std::to_string(m_files++) + ".json";
+        const json patch
+            = {{"teams", {{"race-" + std::to_string(number), {{"millicores", 1}, {"memoryMb", 1}}}}}};
+        std::ofstream(file) << patch.dump() << '\n';
+        kernel::spawn(m_context.get_executor(),
+                      [](scenario_runner &runner, std::string name, std::string version, std::string author,
+                         std::vector<int> &ends) -> task<void> {
+                          const command_result result = co_await runner.control(words(
+                              "config", "patch", "--file", name, "--base", version, "--author", author));
+                          ends.push_back(result.status);
+                      }(*this, file, base, "operator-" + std::to_string(number), statuses));
+    }
+    while (statuses.size() < static_cast<std::size_t>(operators))
+        co_await kernel::sleepFor(pollInterval);
+    const auto winners = std::count(statuses.begin(), statuses.end(), 0);
+    const auto refused = std::count(statuses.begin(), statuses.end(), 3);
+    if (winners != 1 || refused != operators - 1)
+        co_return complain(std::to_string(winners) + " operators won and " + std::to_string(refused)
+                           + " were refused");
+    co_return true;
+}
+
+task<bool> scenario_runner::changeDomain(std::string verb, std::string event, std::string name)
+{
+    const command_result result = co_await control(words("failure-domain", verb, name));
+    if (result.status != 0)
+        co_return complain(verb + " failed: " + result.output);
+    record(event, {{"failureDomain", name}});
+    co_return true;
+}
+
+task<bool> scenario_runner::stepWithdraw(json argument)
+{
+    return changeDomain("withdraw", "withdrawn", argument);
+}
+
+task<bool> scenario_runner::stepReturn(json argument)
+{
+    return changeDomain("return", "returned", argument);
+}
+
+task<bool> scenario_runner::stepSignal(json argument)
+{
+    for (const auto &[name, signal] : argument.items()) {
+        m_processes.signal(name, signalNamed(signal));
+        if (signal == "kill") {
+            co_await m_processes.awaitEnd(name, callTimeout);
+            record("killed", {{"process", name}});
+        }
+    }
+    co_return true;
+}
+
+task<bool> scenario_runner::stepStart(json argument)
+{
+    m_processes.startAgain(argument);
+    co_return true;
+}
+
+task<bool> scenario_runner::stepAwaitEnd(json argument)
+{
+    const bool ended = co_await m_processes.awaitEnd(argument, milliseconds(defaultLimitMs));
+    if (!ended)
+        co_return complain(argument.get<std::string>() + " did not end");
+    co_return true;
+}
+
+std::string scenario_runner::addressFor(const std::string &target)
+{
+    return target.starts_with("relay:") ? m_addresses.of(target.substr(6), "admin")
+                                        : m_addresses.of(target, "listen");
+}
+
+task<bool> scenario_runner::stepFaults(json argument)
+{
+    for (const auto &[target, faults] : argument.items())
+        co_await call(addressFor(target), http::verb::put, "/admin/faults", faults);
+    co_return true;
+}
+
+//! Lets a fault last: the time is part of the scenario, nothing is awaited.
+task<bool> scenario_runner::stepHold(json argument)
+{
+    co_await kernel::sleepFor(milliseconds(argument.get<std::int64_t>()));
+    co_return true;
+}
+
+task<bool> scenario_runner::stepAwaitVersion(json argument)
+{
+    const auto wanted = argument.at("version").get<std::uint64_t>();
+    const auto end = kernel::systemNow() + milliseconds(argument.value("limitMs", std::int64_t {3000}));
+    std::vector<std::string> addresses
+        = addressesOf(m_addresses, "gateway", m_topology.gateways, "operators");
+    for (const std::string &address :
+         addressesOf(m_addresses, "scheduler", m_topology.schedulers, "operators"))
+        addresses.push_back(address);
+    for (const std::string &address : addresses) {
+        std::uint64_t version = 0;
+        while (version < wanted) {
+            const json state = co_await call(address, http::verb::get, "/dump", {});
+            if (state.is_object())
+                version = state["config"]["version"];
+            if (version < wanted && kernel::systemNow() >= end)
+                co_return complain(address + " is at version " + std::to_string(version));
+            if (version < wanted)
+                co_await kernel::sleepFor(pollInterval);
+        }
+    }
+    co_return true;
+}
+
+task<command_result> scenario_runner::control(std::vector<std::string> arguments)
+{
+    const std::vector<std::string> ways
+        = {"--store", m_addresses.of("platform", "listen"), "--schedulers",
+           joined(addressesOf(m_addresses, "scheduler", m_topology.schedulers, "peer"))};
+    arguments.insert(arguments.end(), ways.begin(), ways.end());
+    return m_processes.run("almondctl", std::move(arguments));
+}
+
+task<json> scenario_runner::call(std::string address, http::verb verb, std::string path, json body)
+{
+    http::request message(verb, path, 11);
+    message.set(http::field::host, address);
+    message.body() = body.is_null() ? "" : body.dump();
+    const http::exchange_result result = co_await m_pool.exchange(address, std::move(message), callTimeout);
+    co_return json::parse(result.answer.body(), nullptr, false);
+}
+
+history::events scenario_runner::collect() const
+{
+    history::events all = m_events;
+    for (const auto &file : std::filesystem::directory_iterator(m_options.directory)) {
+        if (file.path().extension() != ".jsonl")
+            continue;
+        history::events more = history::readRecord(file.path().string());
+        std::move(more.begin(), more.end(), std::back_inserter(all));
+    }
+    std::stable_sort(all.begin(), all.end(), [](const json &left, const json &right) {
+        return left.at("at").get<std::int64_t>() < right.at("at").get<std::int64_t>();
+    });
+    return all;
+}
+
+history::history_summary scenario_runner::check() const
+{
+    const history::events all = collect();
+    history::history_summary summary;
+    history::checkRequests(all, {}, summary);
+    history::checkTasks(all, {}, summary);
+    return summary;
+}
+
+json scenario_runner::latencies() const
+{
+    json result = {{"p50_ms", 0.0}, {"p99_ms", 0.0}};
+    for (const auto &[name, load] : m_loads) {
+        for (auto &[key, value] : result.items())
+            value = std::max(value.get<double>(), load.value(key, 0.0));
+    }
+    return result;
+}
+
+bool scenario_runner::meets(const json &summary) const
+{
+    bool all = true;
+    const json expected = m_document.value("expect", json::object());
+    for (const auto &[name, bound] : expected.items()) {
+        const double value = summary.value(name, 0.0);
+        const bool held = value >= bound.value("min", value) && value <= bound.value("max", value);
+        if (!held)
+            std::cout << "expected " << name << " within " << bound.dump() << ", was " << value << '\n';
+        all = all && held;
+    }
+    return all;
+}
+
+bool scenario_runner::report()
+{
+    const history::history_summary found = check();
+    for (const history::violation &item : found.violations)
+        std::cout << "broken: " << item.promise << ": " << item.text << '\n';
+    const json times = latencies();
+    json summary = {{"requests", found.requests}, {"answered", found.answered},
+                    {"lost", found.lost},         {"doubled", found.doubled},
+                    {"not_run", found.notRun},    {"unknown", found.unknown},
+                    {"jobs", found.jobs},         {"finished_once", found.finishedOnce},
+                    {"p50_ms", times["p50_ms"]},  {"p99_ms", times["p99_ms"]}};
+    const bool held = found.violations.empty() && meets(summary);
+    std::cout << m_document.value("name", "scenario") << ": " << found.answered << " of " << found.requests
+              << " requests answered, " << found.finishedOnce << " of " << found.jobs
+              << " jobs finished once, " << found.violations.size() << " promises broken\n"
+              << summary.dump() << std::endl;
+    return held;
+}
+
+void scenario_runner::record(const std::string &event, json fields)
+{
+    fields["event"] = event;
+    fields["at"] = kernel::toMillis(kernel::systemNow());
+    m_events.push_back(std::move(fields));
+}
+
+void scenario_runner::say(const std::string &text) const
+{
+    if (m_options.verbose)
+        std::cout << "- " << text << std::endl;
+}
+
+bool scenario_runner::complain(const std::string &text)
+{
+    std::cout << "failed: " << text.substr(0, longestComplaint) << std::endl;
+    return false;
+}
+
+} // namespace almond::scenario
