--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -31,8 +31,6 @@
         return status::payload_too_large;
     if (error == beast::http::error::header_limit)
         return status::request_header_fields_too_large;
-    if (error == beast::error::timeout)
-        return status::request_timeout;
     return status::bad_request;
 }
 
@@ -133,6 +131,10 @@
         message = parser.release();
         co_return read_outcome::complete;
     }
+    if (error == beast::error::timeout) {
+        ++m_counters.timedOut;
+        co_return read_outcome::closed;
+    }
     const bool closed = error == beast::http::error::end_of_stream
         || error == beast::http::error::partial_message || error == asio::error::connection_reset
         || error == asio::error::operation_aborted;
@@ -147,10 +149,7 @@
     const status code = statusFor(error);
     m_counters.bodyTooLarge += code == status::payload_too_large ? 1 : 0;
     m_counters.headerTooLarge += code == status::request_header_fields_too_large ? 1 : 0;
-    m_counters.timedOut += code == status::request_timeout ? 1 : 0;
     m_counters.malformed += code == status::bad_request ? 1 : 0;
-    if (!client.link.socket().is_open())
-        co_return;
     response answer = makeErrorReply(code, error.message()).message;
     answer.set("Almond-Outcome", "not-run");
     answer.keep_alive(false);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -46,7 +46,7 @@
 using handler = std::function<kernel::task<reply>(request)>;
 
 //! An HTTP/1.1 server with limits and a graceful stop. Over-long bodies get 413, over-long headers 431,
-//! and a client that is slower than the limits is cut with 408.
+//! and the connection of a client that is slower than the limits is closed.
 class server
 {
 public:
--- a/src/placement/batch_filter.h
+++ b/src/placement/batch_filter.h
@@ -12,7 +12,7 @@
 struct touched_items
 {
     std::set<std::string, std::less<>> jobs;
-    std::set<std::string, std::less<>> workers;
+    std::set<std::string> workers;
 };
 
 //! Keeps of \a records those that still apply to \a cell and are not repeated; workers may report the
--- a/src/placement/cell_owner.cpp
+++ b/src/placement/cell_owner.cpp
@@ -298,19 +298,23 @@
     m_counters.lost += ended->outcome == attempt_outcome::lost ? 1 : 0;
 }
 
-void cell_owner::wakeWorkersOf(std::span<const cell_record> records)
+std::set<std::string> cell_owner::workersOf(std::span<const cell_record> records) const
 {
-    std::set<std::string> ids;
+    std::set<std::string> ids = touchedBy(records).workers;
     for (const cell_record &record : records) {
         if (const auto *assigned = std::get_if<assigned_record>(&record))
             ids.insert(assigned->worker);
-        if (const auto *joined = std::get_if<worker_record>(&record))
-            ids.insert(joined->worker);
-        const auto *cancelled = std::get_if<cancelled_record>(&record);
-        const auto job = cancelled ? m_state.jobs.find(cancelled->job) : m_state.jobs.end();
+    }
+    for (const std::string &touched : touchedBy(records).jobs) {
+        const auto job = m_state.jobs.find(touched);
         if (job != m_state.jobs.end())
             ids.insert(job->second.worker);
     }
+    return ids;
+}
+
+void cell_owner::wakeWorkers(const std::set<std::string> &ids)
+{
     for (const std::string &id : ids) {
         const auto found = m_workers.find(id);
         if (found != m_workers.end())
@@ -325,9 +329,10 @@
         refreshWorkers();
         const batch next = prepareBatch(m_services.clock());
         if (!next.records.empty()) {
+            const std::set<std::string> concerned = workersOf(next.records);
             const bool committed = co_await appendBatch(next);
             if (committed)
-                wakeWorkersOf(next.records);
+                wakeWorkers(concerned);
             for (const waiting_commit &waiting : next.waiting)
                 waiting.done->complete(committed);
             if (m_state.index >= m_snapshotIndex + m_services.settings.snapshotAfter && !m_snapshotRunning)
--- a/src/placement/cell_owner.h
+++ b/src/placement/cell_owner.h
@@ -120,7 +120,8 @@
     void planMoves(const plan_inputs &inputs, std::vector<cell_record> &records, time_point now) const;
     void applyBatch(const batch &next);
     void count(const cell_record &record);
-    void wakeWorkersOf(std::span<const cell_record> records);
+    std::set<std::string> workersOf(std::span<const cell_record> records) const;
+    void wakeWorkers(const std::set<std::string> &ids);
     void drive(const std::string &id);
     void refreshWorkers();
     void observe(std::vector<cell_record> records);
--- a/src/placement/worker_link.cpp
+++ b/src/placement/worker_link.cpp
@@ -19,6 +19,14 @@
         && job->second.attempt == id.attempt && job->second.worker == worker;
 }
 
+//! Tells whether the journal holds \a report as the attempt that finished its job.
+bool hasFinished(const cell_state &cell, const attempt_report &report)
+{
+    const auto job = cell.jobs.find(report.id.job);
+    return job != cell.jobs.end() && job->second.phase == job_phase::done
+        && job->second.attempt == report.id.attempt && report.outcome == attempt_outcome::done;
+}
+
 bool mustStop(const job_entry &job, bool domainOpen)
 {
     if (job.cancelRequested)
@@ -68,6 +76,7 @@
     if (sameIncarnation)
         addOrders(cell, *entry, link, inputs, rules, request);
     request.acknowledge.assign(link.acknowledge.begin(), link.acknowledge.end());
+    request.publish.assign(link.publish.begin(), link.publish.end());
     return request;
 }
 
@@ -84,6 +93,7 @@
     if (link.incarnation != response.incarnation) {
         link.known.clear();
         link.acknowledge.clear();
+        link.publish.clear();
     }
     link.incarnation = response.incarnation;
     if (recorded)
@@ -125,11 +135,14 @@
         } else if (current) {
             records.emplace_back(
                 ended_record {report.id, report.outcome, report.checkpoint, kernel::toMillis(now)});
+        } else if (hasFinished(cell, report)) {
+            link.publish.insert(report.id);
         } else {
             link.acknowledge.insert(report.id);
         }
     }
     std::erase_if(link.acknowledge, [&](const attempt_id &id) { return !reported.contains(id); });
+    std::erase_if(link.publish, [&](const attempt_id &id) { return !reported.contains(id); });
     link.known = std::move(reported);
     return records;
 }
--- a/src/placement/worker_link.h
+++ b/src/placement/worker_link.h
@@ -34,8 +34,10 @@
     time_point askedAt {};
     //! Attempts that the worker has reported.
     std::set<attempt_id> known;
-    //! Ended attempts whose end is in the journal.
+    //! Ended attempts that the worker may forget.
     std::set<attempt_id> acknowledge;
+    //! Finished attempts whose end is in the journal.
+    std::set<attempt_id> publish;
     std::map<attempt_id, usage_report> usage;
     std::map<attempt_id, std::string> checkpoints;
 };
--- a/src/placement/worker_protocol.h
+++ b/src/placement/worker_protocol.h
@@ -44,12 +44,15 @@
     //! Attempts to checkpoint and stop.
     std::vector<attempt_id> stop;
     std::vector<throttle_order> throttle;
-    //! Ended attempts that are recorded; the worker may forget them.
+    //! Ended attempts that do not count, or whose end is recorded; the worker forgets them.
     std::vector<attempt_id> acknowledge;
+    //! Finished attempts whose end is recorded: the worker hands their results over, then forgets them. A
+    //! finished attempt that the owner has given up meanwhile is acknowledged and never published.
+    std::vector<attempt_id> publish;
 };
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(sync_request, cell, epoch, sequence, incarnation, leaseUntilMs, run, stop,
-                                   throttle, acknowledge)
+                                   throttle, acknowledge, publish)
 
 //! What a task used, as the worker measured it some time ago.
 struct usage_report
--- a/standins/worker_state.cpp
+++ b/standins/worker_state.cpp
@@ -130,6 +130,13 @@
         if (found != worker.tasks.end() && !found->second.running)
             worker.tasks.erase(found);
     }
+    for (const attempt_id &id : request.publish) {
+        const auto found = worker.tasks.find(id);
+        if (found == worker.tasks.end() || found->second.running)
+            continue;
+        worker.sink("task-published", describe(worker, id, found->second));
+        worker.tasks.erase(found);
+    }
     for (const attempt_id &id : request.stop) {
         const auto found = worker.tasks.find(id);
         if (found != worker.tasks.end() && found->second.running)
--- a/tests/history/history_checker.cpp
+++ b/tests/history/history_checker.cpp
@@ -171,13 +171,12 @@
     }
 }
 
-void checkFinished(const events &all, const std::map<std::string, std::vector<const run_interval *>> &byJob,
-                   history_summary &summary)
+void checkFinished(const events &all, history_summary &summary)
 {
     std::map<std::string, std::size_t> done;
-    for (const auto &[job, runs] : byJob) {
-        for (const run_interval *run : runs)
-            done[job] += run->outcome == "done" ? 1 : 0;
+    for (const json &event : all) {
+        if (is(event, "task-published"))
+            ++done[event.at("job")];
     }
     for (const json &event : all) {
         if (!is(event, "job-accepted"))
@@ -302,7 +301,7 @@
         byJob[interval.job].push_back(&interval);
     checkOnePlace(byJob, summary);
     checkResumed(byJob, summary);
-    checkFinished(all, byJob, summary);
+    checkFinished(all, summary);
     checkCapacity(all, intervals, summary);
     checkWithdrawn(all, limits, summary);
 }
--- a/tests/scenario/scenario_runner.cpp
+++ b/tests/scenario/scenario_runner.cpp
@@ -239,7 +239,8 @@
                 ended += m_unfinished.contains(job.at("id")) && isEnded(job) ? 1 : 0;
         }
         left = m_unfinished.size() - std::min(ended, m_unfinished.size());
-        if (left == 0)
+        // Results are published after the end is recorded.
+        if (left == 0 && check().lost == 0)
             co_return true;
         co_await kernel::sleepFor(pollInterval);
     }
--- /dev/null
+++ b/tests/unit/config_test.cpp
@@ -0,0 +1,181 @@
+#include "config/config_document.h"
+#include "config/config_journal.h"
+#include "placement/job_service.h"
+#include "settings/process_settings.h"
+#include "tests/fakes/fake_store.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+//! Settings, configuration documents and races of operators.
+namespace {
+
+using namespace almond;
+using json = nlohmann::json;
+using config::submit_status;
+
+json firstDocument()
+{
+    return json::parse(R"({"failureDomains": {"a": {"region": "r"}, "b": {"region": "r"}},
+                           "services": {"s": {}}, "cellsPerFailureDomain": 2})");
+}
+
+bool hasPlace(const settings::findings &found, const std::string &place)
+{
+    return std::any_of(found.begin(), found.end(), [&](const auto &item) { return item.place == place; });
+}
+
+TEST(Settings, AllFindingsComeAtOnce)
+{
+    const json document = json::parse(R"({"id": "g", "failureDomain": "a", "operatorAddress": "host:1",
+        "storeAddress": "127.0.0.1:70000", "bodyBytes": 1, "unknown": true})");
+    const auto read = settings::readGatewaySettings(document);
+    EXPECT_TRUE(hasPlace(read.found, "/operatorAddress"));
+    EXPECT_TRUE(hasPlace(read.found, "/storeAddress"));
+    EXPECT_TRUE(hasPlace(read.found, "/listenAddress"));
+    EXPECT_TRUE(hasPlace(read.found, "/bodyBytes"));
+    EXPECT_TRUE(hasPlace(read.found, "/unknown"));
+    EXPECT_EQ(read.found.size(), 5U);
+}
+
+TEST(Settings, SyntaxErrorIsNamedByLine)
+{
+    settings::findings found;
+    settings::parseWithComments("{\n // comment\n \"a\": 1,\n \"b\" 2\n}", "file.json", found);
+    ASSERT_EQ(found.size(), 1U);
+    EXPECT_EQ(found.front().place, "file.json:4");
+}
+
+TEST(Settings, LeaseTimesMustFitTogether)
+{
+    const json document = json::parse(R"({"id": "s", "failureDomain": "a", "operatorAddress": "127.0.0.1:1",
+        "storeAddress": "127.0.0.1:2", "peerAddress": "127.0.0.1:3", "taskLeaseMs": 1000, "renewIntervalMs": 3000})");
+    const auto read = settings::readSchedulerSettings(document);
+    EXPECT_TRUE(hasPlace(read.found, "/taskLeaseMs"));
+    EXPECT_TRUE(hasPlace(read.found, "/renewIntervalMs"));
+    EXPECT_TRUE(hasPlace(read.found, "/syncIntervalMs"));
+}
+
+TEST(ConfigDocument, PatchWithFaultsGivesEveryFinding)
+{
+    settings::findings found;
+    config::applyPatch(firstDocument(), json::parse(R"({"services": {"s": {"deadlineMs": -1, "x": 1}},
+        "cellsPerFailureDomain": 3, "failureDomains": {"a": null}})"),
+                       found);
+    EXPECT_TRUE(hasPlace(found, "/services/s/deadlineMs"));
+    EXPECT_TRUE(hasPlace(found, "/services/s/x"));
+    EXPECT_TRUE(hasPlace(found, "/cellsPerFailureDomain"));
+    EXPECT_TRUE(hasPlace(found, "/failureDomains/a"));
+}
+
+TEST(ConfigDocument, WithdrawalClosesOneFailureDomain)
+{
+    settings::findings found;
+    const json after = config::applyPatch(firstDocument(), config::withdrawalPatch("a", true), found);
+    const auto document = config::readDocument(after, found);
+    EXPECT_TRUE(found.empty());
+    EXPECT_FALSE(config::isOpen(document, "a"));
+    EXPECT_TRUE(config::isOpen(document, "b"));
+    EXPECT_FALSE(config::isOpen(document, "c"));
+}
+
+//! Submits through a store whose calls the test releases in a given order.
+struct race
+{
+    boost::asio::io_context context;
+    fakes::fake_store store {context};
+    store::store_api api = store.api();
+
+    void submit(std::uint64_t base, const std::string &author, const std::string &id,
+                config::submit_result &out, json patch = firstDocument())
+    {
+        config::submission change {base, std::move(patch), author, id};
+        kernel::spawn(context.get_executor(),
+                      [](const store::store_api &link, config::submission asked,
+                         config::submit_result &result) -> kernel::task<void> {
+                          result = co_await config::submitPatch(link, asked, kernel::fromMillis(1));
+                      }(api, std::move(change), out));
+    }
+
+    //! Answers every call, the oldest first, so that concurrent submissions interleave.
+    void settle(fakes::call_fate createFate = fakes::call_fate::answer)
+    {
+        context.restart();
+        while (context.poll() > 0 || store.held() > 0) {
+            if (store.held() == 0)
+                continue;
+            const bool first = store.state.items.empty();
+            store.release(0,
+                          first && store.state.revision == 0 && calls++ == 2 ? createFate
+                                                                             : fakes::call_fate::answer);
+        }
+    }
+
+    int calls = 0;
+};
+
+TEST(ConfigJournal, ExactlyOneOfTwoOperatorsWins)
+{
+    race r;
+    config::submit_result first;
+    config::submit_result second;
+    r.submit(0, "anna", "1", first);
+    r.submit(0, "bert", "2", second);
+    r.settle();
+    const bool annaWon = first.status == submit_status::accepted;
+    const config::submit_result &loser = annaWon ? second : first;
+    EXPECT_NE(first.status, second.status);
+    EXPECT_EQ(loser.status, submit_status::stale);
+    EXPECT_EQ(loser.winner, annaWon ? "anna" : "bert");
+    EXPECT_EQ(loser.newest, 1U);
+}
+
+TEST(ConfigJournal, SubmissionAskedAgainIsReportedAsAccepted)
+{
+    race r;
+    config::submit_result first;
+    config::submit_result again;
+    r.submit(0, "anna", "1", first);
+    r.settle();
+    r.submit(0, "anna", "1", again);
+    r.settle();
+    EXPECT_EQ(first.status, submit_status::accepted);
+    EXPECT_EQ(again.status, submit_status::accepted);
+}
+
+TEST(ConfigJournal, LostAnswerOfAnAcceptedPatchIsReportedAsAccepted)
+{
+    race r;
+    config::submit_result result;
+    r.submit(0, "anna", "1", result);
+    r.settle(fakes::call_fate::loseAnswer);
+    EXPECT_EQ(result.status, submit_status::accepted);
+    EXPECT_EQ(r.store.state.items.count("config/entry/00000000000001"), 1U);
+}
+
+TEST(ConfigJournal, InvalidPatchChangesNothing)
+{
+    race r;
+    config::submit_result result;
+    r.submit(0, "anna", "1", result, json::parse(R"({"failureDomains": {}, "extra": 1})"));
+    r.settle();
+    EXPECT_EQ(result.status, submit_status::invalid);
+    EXPECT_EQ(result.findings.size(), 2U);
+    EXPECT_TRUE(r.store.state.items.empty());
+}
+
+TEST(Jobs, MalformedJobGivesEveryFinding)
+{
+    settings::findings found;
+    placement::readJob(json::parse(R"({"team": "", "class": "other", "millicores": 0, "extra": 1})"),
+                       "/jobs/0", found);
+    EXPECT_TRUE(hasPlace(found, "/jobs/0/id"));
+    EXPECT_TRUE(hasPlace(found, "/jobs/0/team"));
+    EXPECT_TRUE(hasPlace(found, "/jobs/0/class"));
+    EXPECT_TRUE(hasPlace(found, "/jobs/0/millicores"));
+    EXPECT_TRUE(hasPlace(found, "/jobs/0/memoryMb"));
+    EXPECT_TRUE(hasPlace(found, "/jobs/0/extra"));
+}
+
+} // namespace
