--- a/apps/ctl/control_session.cpp
+++ b/apps/ctl/control_session.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr kernel::milliseconds callTimeout {10'000};
+constexpr kernel::milliseconds callTimeout{10'000};
 
 } // namespace
 
@@ -32,7 +32,7 @@
 {
     for (const std::string &address : session.options.schedulers) {
         auto answer = co_await session.peers->call(address, method, arguments, callTimeout);
-        if (answer)
+        if (answer && !answer->is_null())
             co_return answer;
     }
     co_return std::nullopt;
--- a/apps/ctl/dump_command.cpp
+++ b/apps/ctl/dump_command.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr kernel::milliseconds dumpTimeout {5000};
+constexpr kernel::milliseconds dumpTimeout{5000};
 
 } // namespace
 
--- a/apps/ctl/main.cpp
+++ b/apps/ctl/main.cpp
@@ -9,7 +9,7 @@
 
 using namespace almond;
 
-constexpr kernel::milliseconds storeTimeout {2000};
+constexpr kernel::milliseconds storeTimeout{2000};
 
 constexpr const char *description
     = "almondctl, the operators' command.\n"
@@ -33,7 +33,7 @@
         return -1;
     settings::control_settings read;
     const int status
-        = apps::loadSettings(apps::daemon_options {file, false, false}, settings::readControlSettings, read);
+        = apps::loadSettings(apps::daemon_options{file, false, false}, settings::readControlSettings, read);
     if (status >= 0)
         return status;
     if (options.storeAddress.empty())
@@ -88,7 +88,7 @@
 int checkSettings(const ctl::control_options &options)
 {
     const std::string role = options.words.size() > 1 ? options.words[1] : "";
-    const apps::daemon_options asked {options.file, true, false};
+    const apps::daemon_options asked{options.file, true, false};
     settings::gateway_settings gateway;
     settings::scheduler_settings scheduler;
     if (role == "gateway")
@@ -131,7 +131,7 @@
         session.platform = std::make_unique<store::http_store>(session.options.storeAddress, storeTimeout);
         session.store = session.platform->api();
         session.peers = std::make_unique<wire::peer_link>(context);
-        session.pool = std::make_unique<http::connection_pool>(context, http::pool_limits {});
+        session.pool = std::make_unique<http::connection_pool>(context, http::pool_limits{});
         return dispatch(session);
     });
 }
--- a/src/config/config_document.cpp
+++ b/src/config/config_document.cpp
@@ -9,11 +9,11 @@
 
 namespace {
 
-constexpr settings::integer_range deadlineRange {10, 600'000};
-constexpr settings::integer_range slotRange {1, 10'000};
-constexpr settings::integer_range connectionRange {1, 10'000};
-constexpr settings::integer_range quotaRange {0, 1'000'000'000};
-constexpr settings::integer_range cellRange {1, 64};
+constexpr settings::integer_range deadlineRange{10, 600'000};
+constexpr settings::integer_range slotRange{1, 10'000};
+constexpr settings::integer_range connectionRange{1, 10'000};
+constexpr settings::integer_range quotaRange{0, 1'000'000'000};
+constexpr settings::integer_range cellRange{1, 64};
 
 failure_domain readFailureDomain(const json &value, const std::string &path, findings &found)
 {
--- a/src/config/config_follower.h
+++ b/src/config/config_follower.h
@@ -12,7 +12,7 @@
 //! Bounds of a config_follower.
 struct follower_settings
 {
-    kernel::milliseconds pollInterval {500};
+    kernel::milliseconds pollInterval{500};
     //! Entries that may stand before this process writes a snapshot; 0 writes none.
     std::uint64_t snapshotAfter = 0;
 };
--- a/src/config/config_journal.cpp
+++ b/src/config/config_journal.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr store::append_limits submitLimits {10, kernel::milliseconds(200)};
+constexpr store::append_limits submitLimits{10, kernel::milliseconds(200)};
 
 const journal_entry *entryAt(const store::journal_contents &contents, std::uint64_t index)
 {
@@ -82,10 +82,10 @@
         result.status = submit_status::invalid;
         co_return result;
     }
-    journal_entry entry {change.base + 1,
-                         change.author,
-                         change.id,
-                         {{"patch", change.patch}, {"submittedAt", kernel::toMillis(now)}}};
+    journal_entry entry{change.base + 1,
+                        change.author,
+                        change.id,
+                        {{"patch", change.patch}, {"submittedAt", kernel::toMillis(now)}}};
     const store::append_result appended
         = co_await store::appendEntry(store, journalName, std::move(entry), submitLimits);
     if (appended.status == append_status::committed) {
--- a/src/config/config_journal.h
+++ b/src/config/config_journal.h
@@ -19,7 +19,7 @@
     json document = json::object();
     config_document parsed;
     //! When the next version was last read as absent.
-    kernel::time_point confirmedAt {};
+    kernel::time_point confirmedAt{};
 };
 
 using config_view_ptr = std::shared_ptr<const config_view>;
@@ -29,7 +29,7 @@
 {
     std::uint64_t version = 0;
     std::string author;
-    kernel::time_point submittedAt {};
+    kernel::time_point submittedAt{};
     json patch;
 };
 
--- a/src/config/peer_config.cpp
+++ b/src/config/peer_config.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr kernel::milliseconds peerTimeout {500};
+constexpr kernel::milliseconds peerTimeout{500};
 constexpr const char *methodName = "config.latest";
 
 config_view viewFromJson(const json &value)
@@ -26,9 +26,9 @@
 {
     peers.provide(methodName, [&follower](json) -> task<json> {
         const config_view_ptr view = follower.view();
-        co_return json {{"version", view->version},
-                        {"document", view->document},
-                        {"confirmedAtMs", kernel::toMillis(view->confirmedAt)}};
+        co_return json{{"version", view->version},
+                       {"document", view->document},
+                       {"confirmedAtMs", kernel::toMillis(view->confirmedAt)}};
     });
 }
 
--- a/src/daemon/daemon_core.cpp
+++ b/src/daemon/daemon_core.cpp
@@ -23,7 +23,7 @@
         = [peers, addresses = settings.schedulers]() -> kernel::task<config::config_view_ptr> {
         return config::newestFromPeers(*peers, addresses);
     };
-    const config::follower_settings follow {settings.configPollInterval, snapshotAfter};
+    const config::follower_settings follow{settings.configPollInterval, snapshotAfter};
     const auto follower = std::make_shared<config::config_follower>(store->api(), *clock, follow, askPeers);
     config::provideConfig(*peers, *follower);
     services.provide(service_name::clock, clock);
--- a/src/daemon/gateway_daemon.cpp
+++ b/src/daemon/gateway_daemon.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 //! Time for the balancer to notice that /ready has turned.
-constexpr kernel::milliseconds balancerNotice {500};
-constexpr kernel::milliseconds claimRetention {24 * 3600 * 1000};
+constexpr kernel::milliseconds balancerNotice{500};
+constexpr kernel::milliseconds claimRetention{24 * 3600 * 1000};
 
 prometheus::Histogram &requestHistogram(prometheus::Registry &registry)
 {
@@ -20,8 +20,8 @@
         .Help("Time from a request's arrival to its answer")
         .Register(registry)
         .Add({},
-             prometheus::Histogram::BucketBoundaries {0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1,
-                                                      2, 5});
+             prometheus::Histogram::BucketBoundaries{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1,
+                                                     2, 5});
 }
 
 } // namespace
@@ -36,9 +36,12 @@
     registerCore(m_services, context, m_settings.common, 0);
     registerRouter(context);
     openOperatorPage();
-    openCallersPort(context);
+    // A gateway that does not know the services or the minions yet would refuse requests that others can
+    // serve.
+    const auto openWhenInformed = [this, &context] { openCallersPort(context); };
+    m_services.find<config::config_follower>(service_name::config)->onChange(openWhenInformed);
+    m_services.find<store::host_list>(service_name::hosts)->onChange(openWhenInformed);
     startCore(m_services, context);
-    observe::log(observe::log_level::info, "gateway started", {{"listen", m_settings.listenAddress}});
 }
 
 void gateway_daemon::registerRouter(boost::asio::io_context &context)
@@ -46,7 +49,7 @@
     const auto follower = m_services.find<config::config_follower>(service_name::config);
     const auto hosts = m_services.find<store::host_list>(service_name::hosts);
     const auto registry = m_services.find<prometheus::Registry>(service_name::metrics);
-    m_minions = std::make_unique<http::connection_pool>(context, http::pool_limits {});
+    m_minions = std::make_unique<http::connection_pool>(context, http::pool_limits{});
     m_claims = std::make_unique<routing::request_claims>(
         m_services.find<store::http_store>(service_name::store)->api(), m_settings.common.id, claimRetention);
     m_jobs = std::make_unique<routing::job_frontend>(*m_services.find<wire::peer_link>(service_name::peers),
@@ -90,9 +93,7 @@
     m_metrics->gauge("almond_minion_connections", "Open connections to minions",
                      [this] { return static_cast<double>(m_minions->openCount()); });
     observe::operator_view view;
-    view.ready = [this] {
-        return m_ready && m_services.find<config::config_follower>(service_name::config)->view()->version > 0;
-    };
+    view.ready = [this] { return m_ready; };
     view.dump = [this] { return dump(); };
     view.beforeMetrics = [this] { m_metrics->update(); };
     view.metrics = registry;
@@ -102,6 +103,10 @@
 
 void gateway_daemon::openCallersPort(boost::asio::io_context &context)
 {
+    const bool informed = m_services.find<store::host_list>(service_name::hosts)->isLoaded()
+        && m_services.find<config::config_follower>(service_name::config)->view()->version > 0;
+    if (m_server || !informed)
+        return;
     http::server_limits limits;
     limits.headerBytes = static_cast<std::uint32_t>(m_settings.headerBytes);
     limits.bodyBytes = static_cast<std::uint64_t>(m_settings.bodyBytes);
@@ -112,6 +117,7 @@
         context, limits, [this](http::request asked) { return handle(std::move(asked)); });
     m_server->listen(m_settings.listenAddress);
     m_ready = true;
+    observe::log(observe::log_level::info, "gateway ready", {{"listen", m_settings.listenAddress}});
 }
 
 kernel::task<http::reply> gateway_daemon::handle(http::request asked)
@@ -134,7 +140,7 @@
     state["role"] = "gateway";
     state["ready"] = m_ready;
     state["services"] = router->dump();
-    state["requests"] = {{"inFlight", m_server->requestsInFlight()},
+    state["requests"] = {{"inFlight", m_server ? m_server->requestsInFlight() : 0},
                          {"all", counters.requests},
                          {"run", counters.run},
                          {"notRun", counters.notRun},
@@ -145,8 +151,8 @@
                          {"retriesDenied", counters.retriesDenied},
                          {"queueFull", counters.queueFull},
                          {"queueExpired", counters.queueExpired}};
-    const http::server_counters &served = m_server->counters();
-    state["callers"] = {{"connections", m_server->connectionCount()},
+    const http::server_counters served = m_server ? m_server->counters() : http::server_counters{};
+    state["callers"] = {{"connections", m_server ? m_server->connectionCount() : 0},
                         {"accepted", served.accepted},
                         {"bodyTooLarge", served.bodyTooLarge},
                         {"headerTooLarge", served.headerTooLarge},
@@ -159,8 +165,10 @@
 
 kernel::task<void> gateway_daemon::stop()
 {
-    observe::log(observe::log_level::info, "gateway stopping", {{"inFlight", m_server->requestsInFlight()}});
+    observe::log(observe::log_level::info, "gateway stopping");
     m_ready = false;
+    if (!m_server)
+        co_return;
     co_await kernel::sleepFor(balancerNotice);
     co_await m_server->drain(m_settings.drainLimit);
     observe::log(observe::log_level::info, "gateway stopped");
--- a/src/daemon/scheduler_daemon.cpp
+++ b/src/daemon/scheduler_daemon.cpp
@@ -29,7 +29,7 @@
 void scheduler_daemon::start(boost::asio::io_context &context)
 {
     registerCore(m_services, context, m_settings.common, configSnapshotAfter);
-    m_workers = std::make_unique<http::connection_pool>(context, http::pool_limits {});
+    m_workers = std::make_unique<http::connection_pool>(context, http::pool_limits{});
     registerScheduler(context);
     openOperatorPage();
     m_services.find<wire::peer_link>(service_name::peers)->listen(m_settings.peerAddress);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -38,8 +38,8 @@
 struct pool_limits
 {
     std::size_t idlePerPeer = 64;
-    kernel::milliseconds connectTimeout {1000};
-    kernel::milliseconds idleTimeout {30'000};
+    kernel::milliseconds connectTimeout{1000};
+    kernel::milliseconds idleTimeout{30'000};
     std::uint64_t answerBytes = 64ULL * 1024 * 1024;
 };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
-constexpr kernel::milliseconds drainPollInterval {5};
-constexpr kernel::milliseconds acceptRetryInterval {50};
+constexpr kernel::milliseconds drainPollInterval{5};
+constexpr kernel::milliseconds acceptRetryInterval{50};
 
 auto into(error_code &error)
 {
@@ -77,7 +77,7 @@
             continue;
         }
         socket.set_option(asio::ip::tcp::no_delay(true), error);
-        auto client = std::make_shared<session>(session {stream(std::move(socket)), {}, false});
+        auto client = std::make_shared<session>(session{stream(std::move(socket)), {}, false});
         kernel::spawn(m_context.get_executor(), serve(std::move(client)));
     }
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -22,11 +22,11 @@
     std::uint32_t headerBytes = 16 * 1024;
     std::uint64_t bodyBytes = 16ULL * 1024 * 1024;
     //! Time for one whole request to arrive once its first byte has.
-    kernel::milliseconds receiveTimeout {10'000};
+    kernel::milliseconds receiveTimeout{10'000};
     //! Time for one whole answer to be taken by the client.
-    kernel::milliseconds sendTimeout {30'000};
+    kernel::milliseconds sendTimeout{30'000};
     //! Time a connection may stay open without a request.
-    kernel::milliseconds idleTimeout {60'000};
+    kernel::milliseconds idleTimeout{60'000};
     std::size_t connections = 4096;
 };
 
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> levelNames {"debug", "info", "warning", "error"};
+constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warning", "error"};
 
 std::string &processName()
 {
--- a/src/placement/batch_filter.cpp
+++ b/src/placement/batch_filter.cpp
@@ -42,7 +42,7 @@
 bool stillApplies(const cell_state &cell, const cell_record &record)
 {
     return std::visit(
-        overloaded {
+        overloaded{
             [&](const ended_record &value) { return endsCurrentAttempt(cell, value); },
             [&](const worker_record &value) { return changesWorker(cell, value); },
             [&](const move_finished_record &value) { return isInPhase(cell, value.job, job_phase::moving); },
@@ -53,10 +53,10 @@
 
 std::string identityOf(const cell_record &record)
 {
-    return std::visit(overloaded {[](const ended_record &value) { return "ended " + value.id.job; },
-                                  [](const worker_record &value) { return "worker " + value.worker; },
-                                  [](const move_finished_record &value) { return "moved " + value.job; },
-                                  [](const auto &) { return std::string(); }},
+    return std::visit(overloaded{[](const ended_record &value) { return "ended " + value.id.job; },
+                                 [](const worker_record &value) { return "worker " + value.worker; },
+                                 [](const move_finished_record &value) { return "moved " + value.job; },
+                                 [](const auto &) { return std::string(); }},
                       record);
 }
 
@@ -69,7 +69,7 @@
         return;
     for (const std::string &id : worker->second.jobs) {
         const job_entry &job = cell.jobs.find(id)->second;
-        ended_record ended {{id, job.attempt}, attempt_outcome::lost, "", job.phaseSinceMs};
+        ended_record ended{{id, job.attempt}, attempt_outcome::lost, "", job.phaseSinceMs};
         if (seen.insert(identityOf(ended)).second)
             kept.emplace_back(std::move(ended));
     }
@@ -98,12 +98,12 @@
 {
     touched_items touched;
     for (const cell_record &record : records) {
-        std::visit(overloaded {[&](const ended_record &value) { touched.jobs.insert(value.id.job); },
-                               [&](const admitted_record &value) { touched.jobs.insert(value.spec.id); },
-                               [&](const cancelled_record &value) { touched.jobs.insert(value.job); },
-                               [&](const move_finished_record &value) { touched.jobs.insert(value.job); },
-                               [&](const worker_record &value) { touched.workers.insert(value.worker); },
-                               [](const auto &) {}},
+        std::visit(overloaded{[&](const ended_record &value) { touched.jobs.insert(value.id.job); },
+                              [&](const admitted_record &value) { touched.jobs.insert(value.spec.id); },
+                              [&](const cancelled_record &value) { touched.jobs.insert(value.job); },
+                              [&](const move_finished_record &value) { touched.jobs.insert(value.job); },
+                              [&](const worker_record &value) { touched.workers.insert(value.worker); },
+                              [](const auto &) {}},
                    record);
     }
     return touched;
--- a/src/placement/cell_owner.cpp
+++ b/src/placement/cell_owner.cpp
@@ -16,12 +16,12 @@
 
 namespace {
 
-constexpr kernel::milliseconds stopPollInterval {5};
-constexpr kernel::milliseconds moveInterval {200};
-constexpr kernel::milliseconds unsettledDelay {200};
+constexpr kernel::milliseconds stopPollInterval{5};
+constexpr kernel::milliseconds moveInterval{200};
+constexpr kernel::milliseconds unsettledDelay{200};
 constexpr std::size_t moveBatch = 200;
 constexpr std::size_t forgetBatch = 200;
-constexpr store::append_limits appendLimits {3, kernel::milliseconds(50)};
+constexpr store::append_limits appendLimits{3, kernel::milliseconds(50)};
 
 std::string submissionId(const std::string &process, std::uint64_t epoch, std::uint64_t number)
 {
@@ -44,7 +44,7 @@
     const store::journal_contents contents = co_await store::loadJournal(m_services.store, m_journal);
     if (contents.status != store::store_status::ok && contents.status != store::store_status::absent)
         co_return false;
-    m_state = contents.snapshotIndex > 0 ? stateOf(contents.snapshot) : cell_state {};
+    m_state = contents.snapshotIndex > 0 ? stateOf(contents.snapshot) : cell_state{};
     m_snapshotIndex = contents.snapshotIndex;
     for (const store::journal_entry &entry : contents.entries) {
         m_state.index = entry.index;
@@ -52,7 +52,7 @@
     }
     m_counters = {};
     batch first;
-    first.records.emplace_back(owner_record {m_services.processId, kernel::toMillis(m_services.clock())});
+    first.records.emplace_back(owner_record{m_services.processId, kernel::toMillis(m_services.clock())});
     co_return co_await appendBatch(first);
 }
 
@@ -206,7 +206,7 @@
         const std::uint32_t hops = m_state.jobs.find(id)->second.hops;
         const auto target = moveTarget(view->parsed, id, m_name, hops);
         if (target)
-            records.emplace_back(move_started_record {id, *target, kernel::toMillis(now)});
+            records.emplace_back(move_started_record{id, *target, kernel::toMillis(now)});
     }
 }
 
@@ -382,15 +382,15 @@
     std::vector<cell_record> admitted;
     for (const std::string &id : jobs) {
         const job_entry &job = m_state.jobs.find(id)->second;
-        admitted.emplace_back(admitted_record {job.spec, job.admittedAtMs, job.attempt, job.failures,
-                                               job.checkpoint, job.hops});
+        admitted.emplace_back(
+            admitted_record{job.spec, job.admittedAtMs, job.attempt, job.failures, job.checkpoint, job.hops});
     }
     const bool adopted = co_await m_services.adopt(target, encodeRecords(admitted));
     if (!adopted)
         co_return;
     std::vector<cell_record> finished;
     for (const std::string &id : jobs)
-        finished.emplace_back(move_finished_record {id, kernel::toMillis(m_services.clock())});
+        finished.emplace_back(move_finished_record{id, kernel::toMillis(m_services.clock())});
     observe(std::move(finished));
 }
 
--- a/src/placement/cell_owner.h
+++ b/src/placement/cell_owner.h
@@ -18,16 +18,16 @@
 struct owner_settings
 {
     //! Time that records are gathered before they are committed as one journal entry.
-    kernel::milliseconds commitInterval {50};
+    kernel::milliseconds commitInterval{50};
     //! Time between two requests to a worker that nothing changed for.
-    kernel::milliseconds syncInterval {1000};
-    kernel::milliseconds syncTimeout {1000};
+    kernel::milliseconds syncInterval{1000};
+    kernel::milliseconds syncTimeout{1000};
     //! A worker that has not answered for this long gets no new work.
-    kernel::milliseconds reachableLimit {3000};
+    kernel::milliseconds reachableLimit{3000};
     //! Entries between two snapshots.
     std::uint64_t snapshotAfter = 256;
     //! Time for which a job that ended is remembered.
-    kernel::milliseconds retention {24 * 3600 * 1000};
+    kernel::milliseconds retention{24 * 3600 * 1000};
     lease_rules leases;
 };
 
--- a/src/placement/cell_record.cpp
+++ b/src/placement/cell_record.cpp
@@ -60,7 +60,7 @@
 {
     return std::visit(
         [](const auto &value) {
-            return json {{recordName<std::decay_t<decltype(value)>>, value}};
+            return json{{recordName<std::decay_t<decltype(value)>>, value}};
         },
         record);
 }
--- a/src/placement/cell_state.cpp
+++ b/src/placement/cell_state.cpp
@@ -14,7 +14,7 @@
 
 leaf::error_id fault(record_fault fault, const std::string &text)
 {
-    return leaf::new_error(record_error {fault, text});
+    return leaf::new_error(record_error{fault, text});
 }
 
 queue_key keyOf(const job_entry &job)
--- a/src/placement/job_service.cpp
+++ b/src/placement/job_service.cpp
@@ -12,12 +12,12 @@
 
 namespace {
 
-constexpr kernel::milliseconds commitTimeout {4000};
-constexpr kernel::milliseconds callTimeout {5000};
-constexpr kernel::milliseconds admitRetryDelay {300};
+constexpr kernel::milliseconds commitTimeout{4000};
+constexpr kernel::milliseconds callTimeout{5000};
+constexpr kernel::milliseconds admitRetryDelay{300};
 constexpr int admitAttempts = 12;
-constexpr settings::integer_range amountRange {0, 100'000'000};
-constexpr settings::integer_range runRange {0, 365LL * 24 * 3600 * 1000};
+constexpr settings::integer_range amountRange{0, 100'000'000};
+constexpr settings::integer_range runRange{0, 365LL * 24 * 3600 * 1000};
 constexpr std::size_t maximumIdLength = 200;
 
 json findingsJson(const findings &found)
@@ -101,7 +101,7 @@
         const auto owner = m_scheduler.find(arguments.at("cell"));
         const bool committed
             = owner && co_await owner->commitRecords(decodeRecords(arguments.at("records")), commitTimeout);
-        co_return json {{"committed", committed}};
+        co_return json{{"committed", committed}};
     });
 }
 
@@ -121,6 +121,8 @@
 
 task<json> job_service::submit(json arguments)
 {
+    if (!m_scheduler.knowsOwners(m_services.clock()))
+        co_return json();
     json results = json::array();
     std::map<std::string, std::vector<job_spec>> byCell;
     const std::vector<std::string> cells = cellNames(m_services.config()->parsed);
@@ -141,7 +143,7 @@
         for (const json &result : co_await admit(cell, std::move(specs)))
             results.push_back(result);
     }
-    co_return json {{"results", results}};
+    co_return json{{"results", results}};
 }
 
 task<json> job_service::admit(std::string cell, std::vector<job_spec> specs)
@@ -149,7 +151,7 @@
     std::vector<cell_record> records;
     const std::int64_t now = kernel::toMillis(m_services.clock());
     for (const job_spec &spec : specs)
-        records.emplace_back(admitted_record {spec, now, 0, 0, "", 0});
+        records.emplace_back(admitted_record{spec, now, 0, 0, "", 0});
     json arguments;
     arguments["cell"] = cell;
     arguments["records"] = encodeRecords(records);
@@ -179,6 +181,8 @@
 
 task<json> job_service::cancel(json arguments)
 {
+    if (!m_scheduler.knowsOwners(m_services.clock()))
+        co_return json();
     const json ids = arguments.value("ids", json::array());
     std::map<std::string, std::string> statuses;
     std::size_t unreachable = 0;
@@ -198,7 +202,7 @@
         const std::string missing = unreachable > 0 ? "unknown" : "absent";
         results.push_back({{"id", id}, {"status", found == statuses.end() ? missing : found->second}});
     }
-    co_return json {{"results", results}};
+    co_return json{{"results", results}};
 }
 
 task<json> job_service::cancelInCell(json arguments)
@@ -222,12 +226,12 @@
             cancelled.push_back(id);
     }
     for (const std::string &id : cancelled)
-        records.emplace_back(cancelled_record {id, kernel::toMillis(m_services.clock())});
+        records.emplace_back(cancelled_record{id, kernel::toMillis(m_services.clock())});
     const bool committed
         = records.empty() || co_await owner->commitRecords(std::move(records), commitTimeout);
     for (const std::string &id : cancelled)
         results[id] = committed ? "cancelled" : "unknown";
-    co_return json {{"results", results}};
+    co_return json{{"results", results}};
 }
 
 json job_service::listOwn(const json &arguments) const
@@ -253,6 +257,8 @@
 
 task<json> job_service::list(json arguments)
 {
+    if (m_scheduler.view().owners.empty())
+        co_return json();
     json jobs = json::array();
     std::size_t cells = 0;
     std::set<std::string> addresses;
@@ -267,7 +273,7 @@
             jobs.push_back(job);
     }
     const bool complete = cells >= cellNames(m_services.config()->parsed).size();
-    co_return json {{"jobs", jobs}, {"complete", complete}};
+    co_return json{{"jobs", jobs}, {"complete", complete}};
 }
 
 } // namespace almond::placement
--- a/src/placement/job_service.h
+++ b/src/placement/job_service.h
@@ -18,6 +18,8 @@
 public:
     job_service(scheduler_service &scheduler, owner_context services, wire::peer_link &peers);
 
+    //! The calls give null while this scheduler does not know the owners of the cells; the caller asks
+    //! another.
     //! {"jobs": [...]} gives {"results": [{"id", "status": accepted|refused|unknown, "findings"}]}. An
     //! unknown result may be asked for again with the same id: a job is admitted once.
     kernel::task<json> submit(json arguments);
--- a/src/placement/ownership.cpp
+++ b/src/placement/ownership.cpp
@@ -40,7 +40,7 @@
 
 std::string encodeMember(const scheduler_member &member)
 {
-    return json {{"id", member.id}, {"peerAddress", member.peerAddress}}.dump();
+    return json{{"id", member.id}, {"peerAddress", member.peerAddress}}.dump();
 }
 
 ownership_view viewOf(std::span<const store::stored_item> items)
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -105,7 +105,7 @@
         candidate_worker &worker = inputs.candidates[static_cast<std::size_t>(chosen)];
         worker.available = worker.available - spec.demand;
         usage[spec.team] = teamUsage;
-        records.emplace_back(assigned_record {key.job, worker.id, kernel::toMillis(now)});
+        records.emplace_back(assigned_record{key.job, worker.id, kernel::toMillis(now)});
     }
     return records;
 }
--- a/src/placement/scheduler_service.cpp
+++ b/src/placement/scheduler_service.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr kernel::milliseconds adoptTimeout {3000};
-constexpr kernel::milliseconds stopPollInterval {5};
+constexpr kernel::milliseconds adoptTimeout{3000};
+constexpr kernel::milliseconds stopPollInterval{5};
 
 } // namespace
 
@@ -88,6 +88,7 @@
     if (reply.status != store_status::ok)
         co_return;
     m_view = viewOf(reply.items);
+    m_viewedAt = asked;
     const std::vector<std::string> names = cellNames(m_services.config()->parsed);
     std::set<std::string> owned;
     for (const auto &[name, owner] : m_cells)
@@ -142,6 +143,11 @@
     observe::log(log_level::info, "cell handed over", {{"cell", cell}});
 }
 
+bool scheduler_service::knowsOwners(time_point now) const
+{
+    return !m_view.owners.empty() && now - m_viewedAt <= m_options.storeLease;
+}
+
 void scheduler_service::dropReplaced()
 {
     std::erase_if(m_cells, [](const auto &item) { return item.second->isReplaced(); });
--- a/src/placement/scheduler_service.h
+++ b/src/placement/scheduler_service.h
@@ -16,10 +16,10 @@
 struct scheduler_options
 {
     scheduler_member self;
-    kernel::milliseconds storeLease {4000};
-    kernel::milliseconds renewInterval {1000};
+    kernel::milliseconds storeLease{4000};
+    kernel::milliseconds renewInterval{1000};
     //! Time without an owner after which any scheduler takes a cell.
-    kernel::milliseconds takeoverGrace {2000};
+    kernel::milliseconds takeoverGrace{2000};
 };
 
 //! Holds this scheduler's lease, takes and hands over cells, and finds the owner of each cell.
@@ -39,7 +39,8 @@
     //! The owner of \a cell if this process owns it.
     std::shared_ptr<cell_owner> find(const std::string &cell) const;
     const ownership_view &view() const { return m_view; }
-    time_point confirmedAt() const { return m_confirmedAt; }
+    //! Tells whether the view is recent enough to find the owners of cells by it.
+    bool knowsOwners(time_point now) const;
     json dump() const;
 
 private:
@@ -59,7 +60,8 @@
     bool m_announced = false;
     bool m_stopping = false;
     bool m_running = false;
-    time_point m_confirmedAt {};
+    time_point m_confirmedAt{};
+    time_point m_viewedAt{};
     ownership_view m_view;
     ownerless_times m_ownerless;
     std::map<std::string, std::shared_ptr<cell_owner>> m_cells;
--- a/src/placement/types.cpp
+++ b/src/placement/types.cpp
@@ -41,7 +41,7 @@
     spec.kind = in.at("kind");
     spec.jobClass = in.at("class");
     spec.demand = in.get<resources>();
-    spec.declaredRunMs = in.value("declaredRunMs", std::int64_t {0});
+    spec.declaredRunMs = in.value("declaredRunMs", std::int64_t{0});
     spec.urgent = in.value("urgent", false);
     spec.payload = in.value("payload", json::object());
 }
--- a/src/placement/worker_link.cpp
+++ b/src/placement/worker_link.cpp
@@ -40,7 +40,7 @@
     const std::int64_t startBefore = kernel::toMillis(inputs.configConfirmedAt + rules.startValidity);
     for (const std::string &id : entry.jobs) {
         const job_entry &job = cell.jobs.find(id)->second;
-        const attempt_id attempt {id, job.attempt};
+        const attempt_id attempt{id, job.attempt};
         const bool stopped = mustStop(job, inputs.domainOpen);
         if (!link.known.contains(attempt))
             // A worker refuses an order whose time has passed; its refusal ends the attempt.
@@ -101,16 +101,15 @@
     if (entry && entry->incarnation != response.incarnation) {
         for (const std::string &id : entry->jobs) {
             const job_entry &job = cell.jobs.find(id)->second;
-            const attempt_id attempt {id, job.attempt};
+            const attempt_id attempt{id, job.attempt};
             const auto checkpoint = link.checkpoints.find(attempt);
-            records.emplace_back(ended_record {attempt, attempt_outcome::lost,
-                                               checkpoint == link.checkpoints.end() ? "" : checkpoint->second,
-                                               kernel::toMillis(now)});
+            records.emplace_back(ended_record{attempt, attempt_outcome::lost,
+                                              checkpoint == link.checkpoints.end() ? "" : checkpoint->second,
+                                              kernel::toMillis(now)});
         }
     }
-    records.emplace_back(worker_record {std::string(worker), response.incarnation,
-                                        entry ? entry->address : "", entry ? entry->rack : "",
-                                        response.capacity});
+    records.emplace_back(worker_record{std::string(worker), response.incarnation, entry ? entry->address : "",
+                                       entry ? entry->rack : "", response.capacity});
     return records;
 }
 
@@ -134,7 +133,7 @@
             link.checkpoints[report.id] = report.checkpoint;
         } else if (current) {
             records.emplace_back(
-                ended_record {report.id, report.outcome, report.checkpoint, kernel::toMillis(now)});
+                ended_record{report.id, report.outcome, report.checkpoint, kernel::toMillis(now)});
         } else if (hasFinished(cell, report)) {
             link.publish.insert(report.id);
         } else {
@@ -155,17 +154,17 @@
     if (!entry)
         return records;
     // Until the worker has taken this epoch, an earlier owner may have renewed without the store.
-    const bool fenced = link.answeredAt != time_point {};
+    const bool fenced = link.answeredAt != time_point{};
     const time_point earlier = kernel::fromMillis(cell.ownedSinceMs) + rules.detachedLimit + rules.taskLease;
-    const time_point over = std::max(link.grantedUntil, fenced ? time_point {} : earlier);
+    const time_point over = std::max(link.grantedUntil, fenced ? time_point{} : earlier);
     if (now <= over + rules.clockMargin)
         return records;
     for (const std::string &id : entry->jobs) {
-        const attempt_id attempt {id, cell.jobs.find(id)->second.attempt};
+        const attempt_id attempt{id, cell.jobs.find(id)->second.attempt};
         const auto checkpoint = link.checkpoints.find(attempt);
-        records.emplace_back(ended_record {attempt, attempt_outcome::lost,
-                                           checkpoint == link.checkpoints.end() ? "" : checkpoint->second,
-                                           kernel::toMillis(now)});
+        records.emplace_back(ended_record{attempt, attempt_outcome::lost,
+                                          checkpoint == link.checkpoints.end() ? "" : checkpoint->second,
+                                          kernel::toMillis(now)});
     }
     return records;
 }
--- a/src/placement/worker_link.h
+++ b/src/placement/worker_link.h
@@ -13,13 +13,13 @@
 struct lease_rules
 {
     //! How long one renewal keeps a worker's tasks running.
-    kernel::milliseconds taskLease {6000};
+    kernel::milliseconds taskLease{6000};
     //! Added before a task lease counts as over elsewhere; covers the difference between two hosts' clocks.
-    kernel::milliseconds clockMargin {1000};
+    kernel::milliseconds clockMargin{1000};
     //! How long an owner that can't reach the store goes on renewing.
-    kernel::milliseconds detachedLimit {600'000};
+    kernel::milliseconds detachedLimit{600'000};
     //! A start is valid this long after the configuration was confirmed.
-    kernel::milliseconds startValidity {2000};
+    kernel::milliseconds startValidity{2000};
 };
 
 //! What the owner of a cell knows of its dealings with one worker in the present epoch.
@@ -28,10 +28,10 @@
     std::string incarnation;
     std::uint64_t sequence = 0;
     //! Latest lease end ever sent, answered or not.
-    time_point grantedUntil {};
+    time_point grantedUntil{};
     //! When the worker last accepted a request of this epoch.
-    time_point answeredAt {};
-    time_point askedAt {};
+    time_point answeredAt{};
+    time_point askedAt{};
     //! Attempts that the worker has reported.
     std::set<attempt_id> known;
     //! Ended attempts that the worker may forget.
--- a/src/routing/job_frontend.cpp
+++ b/src/routing/job_frontend.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr std::string_view jobsPath = "/v1/jobs";
-constexpr kernel::milliseconds callTimeout {6000};
+constexpr kernel::milliseconds callTimeout{6000};
 
 std::string_view pathOf(const http::request &asked)
 {
@@ -77,7 +77,7 @@
     for (std::size_t attempt = 0; attempt < m_schedulers.size(); ++attempt) {
         const std::string &scheduler = m_schedulers[m_next++ % m_schedulers.size()];
         auto answer = co_await m_peers.call(scheduler, method, arguments, callTimeout);
-        if (answer)
+        if (answer && !answer->is_null())
             co_return answer;
     }
     co_return std::nullopt;
--- a/src/routing/request_claims.cpp
+++ b/src/routing/request_claims.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr int claimAttempts = 3;
-constexpr kernel::milliseconds claimRetryDelay {50};
-constexpr kernel::milliseconds leaseChange {3'600'000};
+constexpr kernel::milliseconds claimRetryDelay{50};
+constexpr kernel::milliseconds leaseChange{3'600'000};
 constexpr std::size_t keptBodyBytes = 64UL * 1024;
 
 std::string claimKey(const std::string &service, const std::string &key)
@@ -66,20 +66,20 @@
 {
     const bool leased = co_await ensureLease();
     if (!leased)
-        co_return claim_result {};
+        co_return claim_result{};
     const std::string place = claimKey(service, key);
-    const std::string value = json {{"gateway", m_gateway}, {"request", request}}.dump();
+    const std::string value = json{{"gateway", m_gateway}, {"request", request}}.dump();
     for (int attempt = 0; attempt < claimAttempts; ++attempt) {
         const store_reply written = co_await m_store.create(place, value, m_lease);
         if (written.status == store_status::ok)
-            co_return claim_result {claim_status::claimed, {}, written.revision};
+            co_return claim_result{claim_status::claimed, {}, written.revision};
         // The key stands, or the answer was lost: what stands there decides.
         const store_reply standing = co_await m_store.get(place);
         if (standing.status == store_status::ok)
             co_return resultOf(standing, request);
         co_await kernel::sleepFor(claimRetryDelay);
     }
-    co_return claim_result {};
+    co_return claim_result{};
 }
 
 task<void> request_claims::complete(std::string service, std::string key, std::int64_t revision,
--- a/src/routing/request_claims.h
+++ b/src/routing/request_claims.h
@@ -54,7 +54,7 @@
     std::string m_gateway;
     kernel::milliseconds m_retention;
     std::string m_lease;
-    kernel::time_point m_leaseRenewAt {};
+    kernel::time_point m_leaseRenewAt{};
 };
 
 } // namespace almond::routing
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr milliseconds slotPollInterval {5};
+constexpr milliseconds slotPollInterval{5};
 constexpr std::string_view requestIdHeader = "Almond-Request-Id";
 
 std::string serviceOf(const request &asked)
@@ -161,7 +161,7 @@
     if (said == nameOf(outcome::notRun)) {
         co_await m_services.claims->withdraw(asked.service, key);
     } else if (said == nameOf(outcome::run)) {
-        kept_answer kept {answer.message.result_int(), answer.message.body(), ""};
+        kept_answer kept{answer.message.result_int(), answer.message.body(), ""};
         co_await m_services.claims->complete(asked.service, key, claim.revision, std::move(kept));
     }
     co_return answer;
@@ -293,7 +293,7 @@
         asked.mayHaveRun = true;
         return {attempt_verdict::tryElsewhere, {}};
     }
-    attempt_outcome done {attempt_verdict::final, passedOn(std::move(result.answer))};
+    attempt_outcome done{attempt_verdict::final, passedOn(std::move(result.answer))};
     done.answer.message.set("Almond-Outcome", "run");
     return done;
 }
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -204,7 +204,7 @@
                                         [&](const minion_state &minion) { return minion.id == item.id; });
         minion_state &minion = known == state.minions.end() ? state.minions.emplace_back() : *known;
         if (minion.address != item.address)
-            minion = minion_state {};
+            minion = minion_state{};
         minion.id = item.id;
         minion.address = item.address;
         minion.failureDomain = item.failureDomain;
--- a/src/routing/routing_state.h
+++ b/src/routing/routing_state.h
@@ -26,15 +26,15 @@
     routing_policy policy = routing_policy::leastLoaded;
     //! Failures in a row after which a minion is left out.
     int ejectAfter = 3;
-    milliseconds firstEjection {1000};
-    milliseconds longestEjection {30'000};
+    milliseconds firstEjection{1000};
+    milliseconds longestEjection{30'000};
     //! A minion that refused for lack of a slot is left out for this long while others are free.
-    milliseconds refusalPause {5};
+    milliseconds refusalPause{5};
     //! A minion that said it was leaving gets nothing for this long, until the host list says so too.
-    milliseconds leavingMemory {30'000};
+    milliseconds leavingMemory{30'000};
     //! An attempt at an idempotent request is given up after this many typical answer times.
     double patience = 8;
-    milliseconds shortestAttempt {250};
+    milliseconds shortestAttempt{250};
     //! Retries that may reach a minion, as a share of first attempts.
     double retryShare = 0.1;
     double retryBurst = 20;
@@ -52,9 +52,9 @@
     std::int64_t slots = 0;
     int failuresInRow = 0;
     int ejections = 0;
-    time_point ejectedUntil {};
-    time_point pausedUntil {};
-    time_point leavingUntil {};
+    time_point ejectedUntil{};
+    time_point pausedUntil{};
+    time_point leavingUntil{};
     double typicalMs = 0; // moving average of answer times; 0 before the first
 };
 
@@ -64,7 +64,7 @@
     std::vector<minion_state> minions;
     std::size_t nextInTurn = 0;
     double retryTokens = 0;
-    std::mt19937_64 random {1};
+    std::mt19937_64 random{1};
 };
 
 //! How an attempt at a minion ended, for the minion's record.
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr integer_range timeRange {1, 3'600'000};
-constexpr integer_range byteRange {256, 1'073'741'824};
-constexpr integer_range countRange {1, 1'000'000};
+constexpr integer_range timeRange{1, 3'600'000};
+constexpr integer_range byteRange{256, 1'073'741'824};
+constexpr integer_range countRange{1, 1'000'000};
 
 milliseconds duration(object_reader &reader, std::string_view key, std::int64_t fallback,
                       integer_range range = timeRange)
@@ -34,7 +34,7 @@
 //! A start that a worker may still take after its lease was counted as over could run twice.
 void checkLeaseOrder(const scheduler_settings &value, findings &found)
 {
-    constexpr milliseconds startValidity {2000};
+    constexpr milliseconds startValidity{2000};
     if (value.taskLease < startValidity)
         found.push_back({"/taskLeaseMs", "must be at least 2000, the time for which a start is valid"});
     if (value.renewInterval * 2 > value.storeLease)
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -15,9 +15,9 @@
     std::string failureDomain;
     std::string operatorAddress;
     std::string storeAddress;
-    kernel::milliseconds storeTimeout {0};
-    kernel::milliseconds configPollInterval {0};
-    kernel::milliseconds hostPollInterval {0};
+    kernel::milliseconds storeTimeout{0};
+    kernel::milliseconds configPollInterval{0};
+    kernel::milliseconds hostPollInterval{0};
     std::string logLevel;
     //! Peer addresses of schedulers, for configuration in an outage and for jobs.
     std::vector<std::string> schedulers;
@@ -30,11 +30,11 @@
     std::string listenAddress;
     std::int64_t headerBytes = 0;
     std::int64_t bodyBytes = 0;
-    kernel::milliseconds receiveTimeout {0};
-    kernel::milliseconds idleTimeout {0};
+    kernel::milliseconds receiveTimeout{0};
+    kernel::milliseconds idleTimeout{0};
     std::int64_t connections = 0;
     std::int64_t queueLength = 0;
-    kernel::milliseconds drainLimit {0};
+    kernel::milliseconds drainLimit{0};
     std::string routingPolicy;
 };
 
@@ -43,15 +43,15 @@
 {
     common_settings common;
     std::string peerAddress;
-    kernel::milliseconds storeLease {0};
-    kernel::milliseconds renewInterval {0};
-    kernel::milliseconds takeoverGrace {0};
-    kernel::milliseconds commitInterval {0};
-    kernel::milliseconds syncInterval {0};
-    kernel::milliseconds syncTimeout {0};
-    kernel::milliseconds taskLease {0};
-    kernel::milliseconds clockMargin {0};
-    kernel::milliseconds detachedLimit {0};
+    kernel::milliseconds storeLease{0};
+    kernel::milliseconds renewInterval{0};
+    kernel::milliseconds takeoverGrace{0};
+    kernel::milliseconds commitInterval{0};
+    kernel::milliseconds syncInterval{0};
+    kernel::milliseconds syncTimeout{0};
+    kernel::milliseconds taskLease{0};
+    kernel::milliseconds clockMargin{0};
+    kernel::milliseconds detachedLimit{0};
     std::int64_t snapshotAfter = 0;
 };
 
--- a/src/store/host_list.cpp
+++ b/src/store/host_list.cpp
@@ -24,11 +24,13 @@
     if (changes.status != store_status::ok)
         co_return;
     m_revision = changes.revision;
+    const bool first = !m_loaded;
+    m_loaded = true;
     for (const listed_host &host : changes.changed)
         m_hosts[host.id] = host;
     for (const std::string &id : changes.removed)
         m_hosts.erase(id);
-    if (changes.changed.empty() && changes.removed.empty())
+    if (!first && changes.changed.empty() && changes.removed.empty())
         co_return;
     for (const auto &listener : m_listeners)
         listener();
--- a/src/store/host_list.h
+++ b/src/store/host_list.h
@@ -21,13 +21,16 @@
     kernel::task<void> poll();
 
     const std::map<std::string, listed_host> &hosts() const { return m_hosts; }
-    //! Calls \a listener after each change.
+    //! Tells whether the list was read at least once.
+    bool isLoaded() const { return m_loaded; }
+    //! Calls \a listener after each change and after the first reading.
     void onChange(std::function<void()> listener) { m_listeners.push_back(std::move(listener)); }
 
 private:
     http_store &m_platform;
     kernel::milliseconds m_pollInterval;
     std::int64_t m_revision = 0;
+    bool m_loaded = false;
     std::map<std::string, listed_host> m_hosts;
     std::vector<std::function<void()>> m_listeners;
 };
--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -80,7 +80,7 @@
 
     QNetworkAccessManager manager;
     std::string base;
-    kernel::milliseconds timeout {0};
+    kernel::milliseconds timeout{0};
     store_counters counters;
 };
 
@@ -158,7 +158,7 @@
         const std::string path = "/range?start=" + escaped(range.start) + "&end=" + escaped(range.end)
             + "&limit=" + std::to_string(range.limit);
         const http_answer answer = co_await link->call("GET", path);
-        range_reply reply {statusOf(answer), {}};
+        range_reply reply{statusOf(answer), {}};
         if (reply.status != store_status::ok)
             co_return reply;
         const json parsed = json::parse(answer.body);
@@ -167,7 +167,7 @@
         co_return reply;
     };
     api.create = [link](std::string key, std::string value, std::string lease) -> task<store_reply> {
-        http_call call {"PUT", keyPath(key), std::move(value), {}};
+        http_call call{"PUT", keyPath(key), std::move(value), {}};
         call.headers["If-None-Match"] = "*";
         if (!lease.empty())
             call.headers["Kv-Lease"] = QByteArray::fromStdString(lease);
@@ -175,7 +175,7 @@
     };
     api.replace = [link](std::string key, std::string value, std::int64_t revision) -> task<store_reply> {
         const QByteArray expected = '"' + QByteArray::number(static_cast<qlonglong>(revision)) + '"';
-        http_call call {"PUT", keyPath(key), std::move(value), {}};
+        http_call call{"PUT", keyPath(key), std::move(value), {}};
         call.headers["If-Match"] = expected;
         co_return replyOf(co_await link->call(std::move(call)));
     };
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -14,7 +14,7 @@
 
 std::string paddedNumber(std::uint64_t number)
 {
-    std::array<char, 24> text {};
+    std::array<char, 24> text{};
     std::snprintf(text.data(), text.size(), "%014llu", static_cast<unsigned long long>(number));
     return text.data();
 }
@@ -36,7 +36,7 @@
 
 std::string encode(const journal_entry &entry)
 {
-    return json {{"writer", entry.writer}, {"submission", entry.submission}, {"body", entry.body}}.dump();
+    return json{{"writer", entry.writer}, {"submission", entry.submission}, {"body", entry.body}}.dump();
 }
 
 journal_entry decode(std::uint64_t index, const std::string &value)
@@ -81,20 +81,20 @@
 {
     const journal_head head = co_await readHead(store, name);
     if (head.status == store_status::unavailable)
-        co_return append_result {append_status::unsettled, std::nullopt};
+        co_return append_result{append_status::unsettled, std::nullopt};
     if (head.snapshotIndex >= index)
-        co_return append_result {append_status::taken, std::nullopt};
-    co_return append_result {append_status::committed, std::nullopt};
+        co_return append_result{append_status::taken, std::nullopt};
+    co_return append_result{append_status::committed, std::nullopt};
 }
 
 task<append_result> settle(const store_api &store, const std::string &name, const journal_entry &entry)
 {
     const store_reply reply = co_await store.get(entryKey(name, entry.index));
     if (reply.status != store_status::ok)
-        co_return append_result {append_status::unsettled, std::nullopt};
+        co_return append_result{append_status::unsettled, std::nullopt};
     journal_entry standing = decode(entry.index, reply.value);
     if (standing.submission != entry.submission)
-        co_return append_result {append_status::taken, std::move(standing)};
+        co_return append_result{append_status::taken, std::move(standing)};
     co_return co_await confirmAboveSnapshot(store, name, entry.index);
 }
 
@@ -131,7 +131,7 @@
 task<store_reply> moveHead(const store_api &store, const std::string &name, const journal_head &head,
                            std::uint64_t index, std::size_t parts)
 {
-    const std::string value = json {{"index", index}, {"parts", parts}}.dump();
+    const std::string value = json{{"index", index}, {"parts", parts}}.dump();
     if (head.status == store_status::absent)
         co_return co_await store.create(headKey(name), value, "");
     co_return co_await store.replace(headKey(name), value, head.revision);
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -61,7 +61,7 @@
 struct append_limits
 {
     int attempts = 5;
-    kernel::milliseconds retryDelay {100};
+    kernel::milliseconds retryDelay{100};
 };
 
 //! Appends \a entry to the journal \a name. A lost answer is settled by reading the index back and
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -145,7 +145,7 @@
         kernel::spawn(m_context.get_executor(), answerCall(id, std::move(message)));
         return;
     }
-    const auto found = m_pending.find(message.value("call", std::uint64_t {0}));
+    const auto found = m_pending.find(message.value("call", std::uint64_t{0}));
     if (found == m_pending.end())
         return;
     found->second->answer.complete(std::move(message["result"]));
--- a/standins/caller_main.cpp
+++ b/standins/caller_main.cpp
@@ -11,8 +11,8 @@
 
 using namespace almond;
 
-constexpr kernel::milliseconds answerTimeout {30'000};
-constexpr kernel::milliseconds refusedPause {20};
+constexpr kernel::milliseconds answerTimeout{30'000};
+constexpr kernel::milliseconds refusedPause{20};
 constexpr double microsPerSecond = 1e6;
 
 //! What the load consists of.
@@ -45,7 +45,7 @@
 {
     load_plan plan;
     load_result result;
-    std::mt19937_64 random {1};
+    std::mt19937_64 random{1};
     std::unique_ptr<standins::record_log> log;
     std::unique_ptr<http::connection_pool> pool;
     std::size_t nextGateway = 0;
@@ -218,7 +218,7 @@
     caller.random.seed(seed.getValue());
     caller.log = std::make_unique<standins::record_log>(record.getValue());
     return kernel::runOnce(argc, argv, [&](boost::asio::io_context &context) -> kernel::task<int> {
-        caller.pool = std::make_unique<http::connection_pool>(context, http::pool_limits {});
+        caller.pool = std::make_unique<http::connection_pool>(context, http::pool_limits{});
         co_await runLoad(caller);
         printSummary(caller.result);
         co_return 0;
--- a/standins/host_registration.cpp
+++ b/standins/host_registration.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-constexpr kernel::milliseconds callTimeout {1000};
-constexpr kernel::milliseconds retryDelay {100};
+constexpr kernel::milliseconds callTimeout{1000};
+constexpr kernel::milliseconds retryDelay{100};
 constexpr int attempts = 50;
 
 } // namespace
--- a/standins/minion_main.cpp
+++ b/standins/minion_main.cpp
@@ -12,7 +12,7 @@
 using http::reply;
 using http::status;
 
-constexpr kernel::milliseconds drainLimit {10'000};
+constexpr kernel::milliseconds drainLimit{10'000};
 constexpr double serviceSigma = 0.5; // of the log-normal service time
 
 //! How the minion fails, switched at PUT /admin/faults.
@@ -30,12 +30,12 @@
     std::size_t slots = 8;
     double meanServiceMs = 5;
     bool leaving = false;
-    kernel::milliseconds leaveTime {0};
+    kernel::milliseconds leaveTime{0};
     std::size_t busy = 0;
     minion_faults faults;
     nlohmann::json host;
     std::string platform;
-    std::mt19937_64 random {1};
+    std::mt19937_64 random{1};
     std::unique_ptr<standins::record_log> log;
     std::unique_ptr<http::connection_pool> pool;
     std::unique_ptr<http::server> server;
@@ -159,7 +159,7 @@
                    {"failureDomain", domain.getValue()},
                    {"leaving", false}};
     const auto start = [&](boost::asio::io_context &context) {
-        minion.pool = std::make_unique<http::connection_pool>(context, http::pool_limits {});
+        minion.pool = std::make_unique<http::connection_pool>(context, http::pool_limits{});
         http::server_limits limits;
         limits.connections = connections.getValue();
         auto answer = [&minion](http::request asked) { return handle(minion, std::move(asked)); };
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -16,7 +16,7 @@
     std::unique_ptr<http::server> server;
     const auto start = [&](boost::asio::io_context &context) {
         auto handle = [&platform](http::request asked) { return platform.handle(std::move(asked)); };
-        server = std::make_unique<http::server>(context, http::server_limits {}, handle);
+        server = std::make_unique<http::server>(context, http::server_limits{}, handle);
         server->listen(listen.getValue());
     };
     return kernel::runProcess(argc, argv, start, [&]() -> kernel::task<void> {
--- a/standins/platform_service.cpp
+++ b/standins/platform_service.cpp
@@ -22,7 +22,7 @@
 
 constexpr std::size_t maximumValueBytes = 1024UL * 1024;
 constexpr std::size_t defaultRangeLimit = 1000;
-constexpr kernel::milliseconds watchPollInterval {5};
+constexpr kernel::milliseconds watchPollInterval{5};
 constexpr std::string_view keyPrefix = "/kv/";
 constexpr std::string_view leasePrefix = "/leases/";
 constexpr std::string_view hostPrefix = "/hosts/";
@@ -90,7 +90,7 @@
     // The stand-ins' own registration stays possible: an outage concerns the scheduler's calls.
     const bool registration = path.starts_with(hostPrefix);
     if (m_faults.outage && !registration)
-        co_return reply {{}, http::reply_action::dropConnection};
+        co_return reply{{}, http::reply_action::dropConnection};
     if (path == "/watch")
         co_return co_await handleWatch(std::string(query));
     reply answer = dispatch(asked, path, query);
--- a/standins/platform_state.h
+++ b/standins/platform_state.h
@@ -25,7 +25,7 @@
 
 struct kv_lease
 {
-    kernel::milliseconds ttl {0};
+    kernel::milliseconds ttl{0};
     kernel::time_point expiresAt;
 };
 
--- a/standins/relay_main.cpp
+++ b/standins/relay_main.cpp
@@ -17,7 +17,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::size_t bufferBytes = 64UL * 1024;
-constexpr kernel::milliseconds silentPollInterval {20};
+constexpr kernel::milliseconds silentPollInterval{20};
 
 //! What the relay does to its link, switched at PUT /admin/faults.
 struct relay_faults
@@ -150,7 +150,7 @@
         relay.acceptor = std::make_unique<tcp::acceptor>(
             context, tcp::endpoint(asio::ip::make_address(own.host), own.port));
         auto answer = [&relay](http::request asked) { return handle(relay, std::move(asked)); };
-        relay.admin = std::make_unique<http::server>(context, http::server_limits {}, answer);
+        relay.admin = std::make_unique<http::server>(context, http::server_limits{}, answer);
         relay.admin->listen(admin.getValue());
         kernel::spawn(context.get_executor(), acceptLoop(relay));
     };
--- a/standins/worker_main.cpp
+++ b/standins/worker_main.cpp
@@ -13,8 +13,8 @@
 
 using namespace almond;
 
-constexpr kernel::milliseconds tickInterval {10};
-constexpr kernel::milliseconds drainLimit {500};
+constexpr kernel::milliseconds tickInterval{10};
+constexpr kernel::milliseconds drainLimit{500};
 
 //! The parts of a stand-in worker that live as long as its process.
 struct worker_process
@@ -100,9 +100,9 @@
                {"failureDomain", domain.getValue()},
                {"capacity", capacity}});
     const auto start = [&](boost::asio::io_context &context) {
-        worker.pool = std::make_unique<http::connection_pool>(context, http::pool_limits {});
+        worker.pool = std::make_unique<http::connection_pool>(context, http::pool_limits{});
         auto answer = [&worker](http::request asked) { return handle(worker, std::move(asked)); };
-        worker.server = std::make_unique<http::server>(context, http::server_limits {}, answer);
+        worker.server = std::make_unique<http::server>(context, http::server_limits{}, answer);
         worker.server->listen(listen.getValue());
         kernel::spawn(context.get_executor(), tick(worker));
         kernel::spawn(context.get_executor(),
--- a/standins/worker_state.cpp
+++ b/standins/worker_state.cpp
@@ -190,7 +190,7 @@
     response.incarnation = worker.incarnation;
     response.capacity = worker.capacity;
     for (const auto &[id, task] : worker.tasks) {
-        placement::attempt_report report {id, task.running, task.outcome, checkpointOf(task), {}};
+        placement::attempt_report report{id, task.running, task.outcome, checkpointOf(task), {}};
         report.usage = {task.order.spec.demand.millicores, task.order.spec.demand.memoryMb, 1.0};
         response.attempts.push_back(std::move(report));
     }
--- a/standins/worker_state.h
+++ b/standins/worker_state.h
@@ -35,8 +35,8 @@
     std::string cell;
     std::uint64_t epoch = 0;
     std::uint64_t sequence = 0;
-    time_point leaseUntil {};
-    time_point advancedAt {};
+    time_point leaseUntil{};
+    time_point advancedAt{};
     //! A worker that fails every attempt it starts.
     bool failsEverything = false;
     std::map<attempt_id, worker_task> tasks;
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -78,7 +78,7 @@
         std::function<void(call_fate)> proceed;
     };
 
-    static constexpr kernel::milliseconds forever {3'600'000};
+    static constexpr kernel::milliseconds forever{3'600'000};
 
     kernel::task<store::store_reply> hold(std::function<store::store_reply()> effect)
     {
--- a/tests/history/history_checker.cpp
+++ b/tests/history/history_checker.cpp
@@ -226,7 +226,7 @@
             for (const commitment_change &change : list) {
                 const std::int64_t amount = change.run->start.at(resource);
                 used += change.ends ? -amount : amount;
-                if (used > capacity[worker].value(resource, std::int64_t {0}))
+                if (used > capacity[worker].value(resource, std::int64_t{0}))
                     add(summary, "no-overcommitment",
                         worker + " had " + std::to_string(used) + " " + resource);
             }
--- a/tests/scenario/main.cpp
+++ b/tests/scenario/main.cpp
@@ -28,8 +28,8 @@
     }
     std::filesystem::remove_all(directory.getValue());
     return kernel::runOnce(argc, argv, [&](boost::asio::io_context &context) -> kernel::task<int> {
-        scenario::runner_options options {programs.getValue(), directory.getValue(), port.getValue(),
-                                          verbose.getValue()};
+        scenario::runner_options options{programs.getValue(), directory.getValue(), port.getValue(),
+                                         verbose.getValue()};
         scenario::scenario_runner runner(context, options, document);
         co_return co_await runner.run();
     });
--- a/tests/scenario/process_set.cpp
+++ b/tests/scenario/process_set.cpp
@@ -1,7 +1,9 @@
 #include "tests/scenario/process_set.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <stdexcept>
 
 namespace almond::scenario {
 
@@ -11,8 +13,8 @@
 
 constexpr int endTimeoutMs = 5000;
 constexpr int startTimeoutMs = 10'000;
-constexpr kernel::milliseconds pollInterval {10};
-constexpr kernel::milliseconds commandLimit {60'000};
+constexpr kernel::milliseconds pollInterval{10};
+constexpr kernel::milliseconds commandLimit{60'000};
 
 QStringList toQt(const std::vector<std::string> &arguments)
 {
@@ -48,10 +50,13 @@
     if (!plan.settings.is_null())
         std::ofstream(m_directory + "/" + plan.name + ".json") << plan.settings.dump(2) << '\n';
     auto process = std::make_unique<QProcess>();
-    process->setStandardErrorFile(QString::fromStdString(m_directory + "/" + plan.name + ".log"),
+    std::string logName = plan.name;
+    std::replace(logName.begin(), logName.end(), '/', '-');
+    process->setStandardErrorFile(QString::fromStdString(m_directory + "/" + logName + ".log"),
                                   QIODevice::Append);
     process->start(QString::fromStdString(m_programs + "/" + plan.program), toQt(plan.arguments));
-    process->waitForStarted(startTimeoutMs);
+    if (!process->waitForStarted(startTimeoutMs))
+        throw std::runtime_error("can't start " + plan.name);
     m_processes[plan.name] = std::move(process);
 }
 
--- a/tests/scenario/scenario_runner.cpp
+++ b/tests/scenario/scenario_runner.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-constexpr milliseconds pollInterval {50};
-constexpr milliseconds readyLimit {30'000};
-constexpr milliseconds callTimeout {3000};
-constexpr milliseconds loadLimit {180'000};
+constexpr milliseconds pollInterval{50};
+constexpr milliseconds readyLimit{30'000};
+constexpr milliseconds callTimeout{3000};
+constexpr milliseconds loadLimit{180'000};
 constexpr std::size_t longestComplaint = 600;
 constexpr std::int64_t defaultLimitMs = 60'000;
 
@@ -58,7 +58,7 @@
     , m_topology(readTopology(m_document.value("topology", json::object())))
     , m_addresses(m_options.firstPort)
     , m_processes(m_options.programs, m_options.directory)
-    , m_pool(context, http::pool_limits {})
+    , m_pool(context, http::pool_limits{})
 {
 }
 
@@ -76,7 +76,7 @@
 task<bool> scenario_runner::startAll()
 {
     std::filesystem::create_directories(m_options.directory);
-    const auto seed = m_document.value("seed", std::uint64_t {1});
+    const auto seed = m_document.value("seed", std::uint64_t{1});
     m_plans = processesOf(m_topology, m_addresses, m_options.directory, seed);
     for (const process_plan &plan : m_plans)
         m_processes.start(plan);
@@ -155,7 +155,7 @@
 task<bool> scenario_runner::stepLoad(json argument)
 {
     const std::string name = argument.value("name", "load");
-    process_plan plan {"caller-" + name, "standin-caller", {}, {}};
+    process_plan plan{"caller-" + name, "standin-caller", {}, {}};
     plan.arguments
         = {"--gateways",     joined(addressesOf(m_addresses, "gateway", m_topology.gateways, "listen")),
            "--service",      m_topology.service,
@@ -381,7 +381,7 @@
 task<bool> scenario_runner::stepAwaitVersion(json argument)
 {
     const auto wanted = argument.at("version").get<std::uint64_t>();
-    const auto end = kernel::systemNow() + milliseconds(argument.value("limitMs", std::int64_t {3000}));
+    const auto end = kernel::systemNow() + milliseconds(argument.value("limitMs", std::int64_t{3000}));
     std::vector<std::string> addresses
         = addressesOf(m_addresses, "gateway", m_topology.gateways, "operators");
     for (const std::string &address :
--- a/tests/scenario/topology.cpp
+++ b/tests/scenario/topology.cpp
@@ -76,7 +76,7 @@
 {
     for (std::size_t number = 0; number < plan.minions; ++number) {
         const std::string name = numbered("minion", number);
-        process_plan process {
+        process_plan process{
             name, "standin-minion", hostArguments(plan, addresses, directory, name, number), {}};
         const std::vector<std::string> more = {"--service",    plan.service,
                                                "--service-ms", std::to_string(plan.minionServiceMs),
@@ -91,7 +91,7 @@
 {
     for (std::size_t number = 0; number < plan.workers; ++number) {
         const std::string name = numbered("worker", number);
-        process_plan process {
+        process_plan process{
             name, "standin-worker", hostArguments(plan, addresses, directory, name, number), {}};
         const std::vector<std::string> more = {"--millicores", std::to_string(plan.workerMillicores),
                                                "--memory-mb",  std::to_string(plan.workerMemoryMb),
@@ -124,7 +124,7 @@
 {
     topology plan;
     plan.failureDomains
-        = document.value("failureDomains", std::vector<std::string> {"zone-a", "zone-b", "zone-c"});
+        = document.value("failureDomains", std::vector<std::string>{"zone-a", "zone-b", "zone-c"});
     plan.region = document.value("region", plan.region);
     plan.service = document.value("service", plan.service);
     plan.gateways = document.value("gateways", plan.gateways);
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -84,13 +84,13 @@
 struct race
 {
     boost::asio::io_context context;
-    fakes::fake_store store {context};
+    fakes::fake_store store{context};
     store::store_api api = store.api();
 
     void submit(std::uint64_t base, const std::string &author, const std::string &id,
                 config::submit_result &out, json patch = firstDocument())
     {
-        config::submission change {base, std::move(patch), author, id};
+        config::submission change{base, std::move(patch), author, id};
         kernel::spawn(context.get_executor(),
                       [](const store::store_api &link, config::submission asked,
                          config::submit_result &result) -> kernel::task<void> {
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -17,7 +17,7 @@
 using kernel::milliseconds;
 using kernel::task;
 
-constexpr milliseconds longTimeout {5000};
+constexpr milliseconds longTimeout{5000};
 
 http::server_limits smallLimits()
 {
@@ -105,12 +105,12 @@
 {
     asio::io_context context;
     kernel::completion<bool> go(context.get_executor());
-    http::server server(context, http::server_limits {}, [&go](http::request) -> task<http::reply> {
+    http::server server(context, http::server_limits{}, [&go](http::request) -> task<http::reply> {
         co_await go.wait(longTimeout);
         co_return http::makeReply(http::status::ok, "late");
     });
     server.listen("127.0.0.1:0");
-    http::connection_pool pool(context, http::pool_limits {});
+    http::connection_pool pool(context, http::pool_limits{});
     const std::string address = addressOf(server);
     http::exchange_result result;
     kernel::spawn(
@@ -137,7 +137,7 @@
 struct closing_peer
 {
     explicit closing_peer(asio::io_context &context, int answered)
-        : server(context, http::server_limits {}, [this, answered](http::request) -> task<http::reply> {
+        : server(context, http::server_limits{}, [this, answered](http::request) -> task<http::reply> {
             ++deliveries;
             http::reply answer = http::makeReply(http::status::ok, "ok");
             if (deliveries > answered)
@@ -155,7 +155,7 @@
 {
     asio::io_context context;
     closing_peer peer(context, answeredBefore);
-    http::connection_pool pool(context, http::pool_limits {});
+    http::connection_pool pool(context, http::pool_limits{});
     tests::runToEnd(context, [](http::connection_pool &link, closing_peer &target, int before) -> task<void> {
         http::exchange_result result;
         for (int number = 0; number <= before; ++number) {
@@ -182,13 +182,13 @@
 void expectFailure(http::reply_action action, exchange_status expected)
 {
     asio::io_context context;
-    http::server server(context, http::server_limits {}, [action](http::request) -> task<http::reply> {
+    http::server server(context, http::server_limits{}, [action](http::request) -> task<http::reply> {
         http::reply answer = http::makeReply(http::status::ok, std::string(1000, 'x'));
         answer.action = action;
         co_return answer;
     });
     server.listen("127.0.0.1:0");
-    http::connection_pool pool(context, http::pool_limits {});
+    http::connection_pool pool(context, http::pool_limits{});
     tests::runToEnd(
         context, [](http::connection_pool &link, http::server &target, exchange_status wanted) -> task<void> {
             http::request message(http::verb::get, "/", 11);
@@ -210,7 +210,7 @@
 TEST(ConnectionPool, UnreachablePeerIsNotSent)
 {
     asio::io_context context;
-    http::connection_pool pool(context, http::pool_limits {});
+    http::connection_pool pool(context, http::pool_limits{});
     tests::runToEnd(context, [](http::connection_pool &link) -> task<void> {
         http::request message(http::verb::get, "/", 11);
         const auto result = co_await link.exchange("127.0.0.1:1", std::move(message), longTimeout);
@@ -223,11 +223,11 @@
     constexpr int inFlight = 64;
     constexpr std::size_t bytes = 256UL * 1024;
     asio::io_context context;
-    http::server server(context, http::server_limits {}, [](http::request asked) -> task<http::reply> {
+    http::server server(context, http::server_limits{}, [](http::request asked) -> task<http::reply> {
         co_return http::makeReply(http::status::ok, std::string(bytes, asked.body().front()));
     });
     server.listen("127.0.0.1:0");
-    http::connection_pool pool(context, http::pool_limits {});
+    http::connection_pool pool(context, http::pool_limits{});
     int whole = 0;
     int ended = 0;
     for (int number = 0; number < inFlight; ++number) {
--- a/tests/unit/journal_test.cpp
+++ b/tests/unit/journal_test.cpp
@@ -29,10 +29,10 @@
 
 kernel::task<void> own(const store::store_api &store, test_owner &owner, int entries)
 {
-    const store::append_limits limits {1, kernel::milliseconds(0)};
+    const store::append_limits limits{1, kernel::milliseconds(0)};
     int number = 0;
     while (number < entries && !owner.replaced) {
-        journal_entry entry {owner.next, owner.id, owner.id + "/" + std::to_string(number), json::object()};
+        journal_entry entry{owner.next, owner.id, owner.id + "/" + std::to_string(number), json::object()};
         const store::append_result result = co_await store::appendEntry(store, name, entry, limits);
         if (result.status == append_status::taken)
             owner.replaced = true;
@@ -131,7 +131,7 @@
     append_status status = append_status::unsettled;
     kernel::spawn(context.get_executor(),
                   [](const store::store_api &link, append_status &out) -> kernel::task<void> {
-                      const journal_entry late {3, "paused", "paused/1", json::object()};
+                      const journal_entry late{3, "paused", "paused/1", json::object()};
                       const store::append_result result = co_await store::appendEntry(link, name, late, {});
                       out = result.status;
                   }(api, status));
@@ -150,7 +150,7 @@
     append_status status = append_status::unsettled;
     kernel::spawn(context.get_executor(),
                   [](const store::store_api &link, append_status &out) -> kernel::task<void> {
-                      const journal_entry entry {1, "owner", "owner/1", json::object()};
+                      const journal_entry entry{1, "owner", "owner/1", json::object()};
                       const store::append_result result = co_await store::appendEntry(link, name, entry, {});
                       out = result.status;
                   }(api, status));
--- a/tests/unit/lease_test.cpp
+++ b/tests/unit/lease_test.cpp
@@ -16,7 +16,7 @@
 using namespace almond::placement;
 using kernel::milliseconds;
 
-constexpr milliseconds stepTime {200};
+constexpr milliseconds stepTime{200};
 constexpr int stepCount = 400;
 
 //! A request on its way to a worker.
@@ -32,7 +32,7 @@
 {
     cell_state cell;
     std::map<std::string, worker_link> links;
-    time_point confirmedAt {};
+    time_point confirmedAt{};
     bool paused = false;
 };
 
@@ -75,11 +75,11 @@
 
 void takeOver(world &w, owner &self, const std::string &name)
 {
-    self.cell = cell_state {};
+    self.cell = cell_state{};
     self.links.clear();
     for (const auto &records : w.journal)
         applyAll(self.cell, records);
-    append(w, self, {owner_record {name, kernel::toMillis(w.now)}});
+    append(w, self, {owner_record{name, kernel::toMillis(w.now)}});
     self.confirmedAt = w.now;
 }
 
@@ -119,7 +119,7 @@
         const std::string worker = workerName(*rc::gen::inRange<std::size_t>(0, 2));
         const bool known = self.cell.workers.contains(worker) && !touched.workers.contains(worker);
         if (known && !touched.jobs.contains(key.job))
-            records.emplace_back(assigned_record {key.job, worker, kernel::toMillis(w.now)});
+            records.emplace_back(assigned_record{key.job, worker, kernel::toMillis(w.now)});
     }
     if (!records.empty())
         append(w, self, records);
@@ -133,7 +133,7 @@
     std::vector<cell_record> observed;
     for (std::size_t target = 0; target < w.workers.size(); ++target) {
         const std::string name = workerName(target);
-        const link_inputs inputs {w.now, self.confirmedAt, true};
+        const link_inputs inputs{w.now, self.confirmedAt, true};
         w.network.push_back(
             {number, target, nextRequest(self.cell, "cell", name, self.links[name], inputs, w.rules, w.now)});
         const auto lapsed = lapsedAttempts(self.cell, name, self.links[name], w.rules, w.now);
@@ -196,7 +196,7 @@
         spec.id = "job-" + std::to_string(number);
         spec.demand = {1000, 100, 0};
         spec.payload = {{"runMs", 3000}};
-        jobs.emplace_back(admitted_record {spec, number, 0, 0, "", 0});
+        jobs.emplace_back(admitted_record{spec, number, 0, 0, "", 0});
     }
     append(w, w.owners[0], jobs);
     for (int step = 0; step < stepCount && !w.doubled; ++step) {
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -37,8 +37,8 @@
 cell_state cellWithWorker(std::int64_t millicores)
 {
     cell_state cell;
-    applies(cell, owner_record {"owner", 0});
-    applies(cell, worker_record {"worker", "one", "", "", {millicores, 10'000, 0}});
+    applies(cell, owner_record{"owner", 0});
+    applies(cell, worker_record{"worker", "one", "", "", {millicores, 10'000, 0}});
     return cell;
 }
 
@@ -49,23 +49,23 @@
     const auto attempt = *rc::gen::inRange<std::uint32_t>(1, 4);
     switch (*rc::gen::inRange(0, 7)) {
     case 0:
-        return admitted_record {jobOf(job, *rc::gen::inRange(100, 900)), 1, 0, 0, "", 0};
+        return admitted_record{jobOf(job, *rc::gen::inRange(100, 900)), 1, 0, 0, "", 0};
     case 1:
-        return worker_record {worker, *rc::gen::element<std::string>("one", "two"), "", "", {1000, 1000, 0}};
+        return worker_record{worker, *rc::gen::element<std::string>("one", "two"), "", "", {1000, 1000, 0}};
     case 2:
-        return cancelled_record {job, 2};
+        return cancelled_record{job, 2};
     case 3:
-        return ended_record {{job, attempt},
-                             *rc::gen::element(attempt_outcome::done, attempt_outcome::evicted,
-                                               attempt_outcome::lost, attempt_outcome::failed),
-                             "10",
-                             3};
+        return ended_record{{job, attempt},
+                            *rc::gen::element(attempt_outcome::done, attempt_outcome::evicted,
+                                              attempt_outcome::lost, attempt_outcome::failed),
+                            "10",
+                            3};
     case 4:
-        return move_started_record {job, "elsewhere", 4};
+        return move_started_record{job, "elsewhere", 4};
     case 5:
-        return move_finished_record {job, 5};
+        return move_finished_record{job, 5};
     default:
-        return assigned_record {job, worker, 6};
+        return assigned_record{job, worker, 6};
     }
 }
 
@@ -80,7 +80,7 @@
     }
     for (const auto &[id, job] : cell.jobs) {
         RC_ASSERT((job.phase == job_phase::assigned) == !job.worker.empty());
-        const queue_key key {!job.spec.urgent, job.admittedAtMs, id};
+        const queue_key key{!job.spec.urgent, job.admittedAtMs, id};
         RC_ASSERT((job.phase == job_phase::queued) == cell.queue.contains(key));
     }
 }
@@ -123,20 +123,20 @@
 TEST(CellState, JobAdmittedTwiceIsOneJob)
 {
     cell_state cell = cellWithWorker(1000);
-    EXPECT_TRUE(applies(cell, admitted_record {jobOf("a", 500), 1, 0, 0, "", 0}));
-    EXPECT_TRUE(applies(cell, assigned_record {"a", "worker", 2}));
-    EXPECT_TRUE(applies(cell, ended_record {{"a", 1}, attempt_outcome::done, "", 3}));
-    EXPECT_TRUE(applies(cell, admitted_record {jobOf("a", 500), 4, 0, 0, "", 0}));
+    EXPECT_TRUE(applies(cell, admitted_record{jobOf("a", 500), 1, 0, 0, "", 0}));
+    EXPECT_TRUE(applies(cell, assigned_record{"a", "worker", 2}));
+    EXPECT_TRUE(applies(cell, ended_record{{"a", 1}, attempt_outcome::done, "", 3}));
+    EXPECT_TRUE(applies(cell, admitted_record{jobOf("a", 500), 4, 0, 0, "", 0}));
     EXPECT_EQ(cell.jobs.at("a").phase, job_phase::done);
 }
 
 TEST(CellState, JobThatFailsEverywhereIsGivenUpWithItsReason)
 {
     cell_state cell = cellWithWorker(1000);
-    applies(cell, admitted_record {jobOf("a", 500), 1, 0, 0, "", 0});
+    applies(cell, admitted_record{jobOf("a", 500), 1, 0, 0, "", 0});
     for (std::uint32_t attempt = 1; attempt <= maximumFailures; ++attempt) {
-        EXPECT_TRUE(applies(cell, assigned_record {"a", "worker", 2}));
-        EXPECT_TRUE(applies(cell, ended_record {{"a", attempt}, attempt_outcome::failed, "", 3}));
+        EXPECT_TRUE(applies(cell, assigned_record{"a", "worker", 2}));
+        EXPECT_TRUE(applies(cell, ended_record{{"a", attempt}, attempt_outcome::failed, "", 3}));
     }
     EXPECT_EQ(cell.jobs.at("a").phase, job_phase::failed);
     EXPECT_FALSE(cell.jobs.at("a").reason.empty());
@@ -145,18 +145,18 @@
 TEST(BatchFilter, RepeatedEndIsKeptOnce)
 {
     cell_state cell = cellWithWorker(1000);
-    applies(cell, admitted_record {jobOf("a", 500), 1, 0, 0, "", 0});
-    applies(cell, assigned_record {"a", "worker", 2});
-    const ended_record ended {{"a", 1}, attempt_outcome::done, "", 3};
+    applies(cell, admitted_record{jobOf("a", 500), 1, 0, 0, "", 0});
+    applies(cell, assigned_record{"a", "worker", 2});
+    const ended_record ended{{"a", 1}, attempt_outcome::done, "", 3};
     EXPECT_EQ(filterRecords(cell, {ended, ended}).size(), 1U);
 }
 
 TEST(BatchFilter, NewIncarnationEndsEveryAttemptOfTheOldOne)
 {
     cell_state cell = cellWithWorker(1000);
-    applies(cell, admitted_record {jobOf("a", 500), 1, 0, 0, "", 0});
-    applies(cell, assigned_record {"a", "worker", 2});
-    const auto records = filterRecords(cell, {worker_record {"worker", "two", "", "", {1000, 10'000, 0}}});
+    applies(cell, admitted_record{jobOf("a", 500), 1, 0, 0, "", 0});
+    applies(cell, assigned_record{"a", "worker", 2});
+    const auto records = filterRecords(cell, {worker_record{"worker", "two", "", "", {1000, 10'000, 0}}});
     for (const cell_record &record : records)
         EXPECT_TRUE(applies(cell, record));
     EXPECT_EQ(cell.workers.at("worker").incarnation, "two");
@@ -184,10 +184,10 @@
 TEST(Plan, LargeJobBlocksNobody)
 {
     cell_state cell = cellWithWorker(1000);
-    applies(cell, admitted_record {jobOf("large", 5000), 1, 0, 0, "", 0});
-    applies(cell, admitted_record {jobOf("small", 500), 2, 0, 0, "", 0});
+    applies(cell, admitted_record{jobOf("large", 5000), 1, 0, 0, "", 0});
+    applies(cell, admitted_record{jobOf("small", 500), 2, 0, 0, "", 0});
     config::config_document document;
-    const auto records = planStarts(cell, document, openInputs(cell), kernel::time_point {});
+    const auto records = planStarts(cell, document, openInputs(cell), kernel::time_point{});
     ASSERT_EQ(records.size(), 1U);
     EXPECT_EQ(std::get<assigned_record>(records.front()).job, "small");
 }
@@ -195,11 +195,11 @@
 TEST(Plan, UrgentWorkGoesFirst)
 {
     cell_state cell = cellWithWorker(1000);
-    applies(cell, admitted_record {jobOf("first", 800), 1, 0, 0, "", 0});
+    applies(cell, admitted_record{jobOf("first", 800), 1, 0, 0, "", 0});
     job_spec urgent = jobOf("urgent", 800);
     urgent.urgent = true;
-    applies(cell, admitted_record {urgent, 2, 0, 0, "", 0});
-    const auto records = planStarts(cell, {}, openInputs(cell), kernel::time_point {});
+    applies(cell, admitted_record{urgent, 2, 0, 0, "", 0});
+    const auto records = planStarts(cell, {}, openInputs(cell), kernel::time_point{});
     ASSERT_EQ(records.size(), 1U);
     EXPECT_EQ(std::get<assigned_record>(records.front()).job, "urgent");
 }
@@ -208,20 +208,20 @@
 {
     cell_state cell = cellWithWorker(10'000);
     for (int number = 0; number < 8; ++number)
-        applies(cell, admitted_record {jobOf("job-" + std::to_string(number), 300), number, 0, 0, "", 0});
+        applies(cell, admitted_record{jobOf("job-" + std::to_string(number), 300), number, 0, 0, "", 0});
     plan_inputs inputs = openInputs(cell);
     inputs.cellCount = 2;
     // 2000 millicores over two cells leave 1000 here: three jobs of 300.
-    EXPECT_EQ(planStarts(cell, twoDomains(), inputs, kernel::time_point {}).size(), 3U);
+    EXPECT_EQ(planStarts(cell, twoDomains(), inputs, kernel::time_point{}).size(), 3U);
 }
 
 TEST(Plan, NothingStartsWithoutAFreshConfiguration)
 {
     cell_state cell = cellWithWorker(1000);
-    applies(cell, admitted_record {jobOf("a", 500), 1, 0, 0, "", 0});
+    applies(cell, admitted_record{jobOf("a", 500), 1, 0, 0, "", 0});
     plan_inputs inputs = openInputs(cell);
     inputs.mayStart = false;
-    EXPECT_TRUE(planStarts(cell, {}, inputs, kernel::time_point {}).empty());
+    EXPECT_TRUE(planStarts(cell, {}, inputs, kernel::time_point{}).empty());
 }
 
 TEST(Plan, ImpossibleJobIsNamedWithItsReason)
@@ -235,7 +235,7 @@
 TEST(Plan, JobsLeaveAWithdrawnFailureDomain)
 {
     cell_state cell = cellWithWorker(1000);
-    applies(cell, admitted_record {jobOf("a", 500), 1, 0, 0, "", 0});
+    applies(cell, admitted_record{jobOf("a", 500), 1, 0, 0, "", 0});
     plan_inputs inputs = openInputs(cell);
     EXPECT_TRUE(jobsToMove(cell, inputs, 10).empty());
     inputs.domainOpen = false;
@@ -259,7 +259,7 @@
         for (const auto &[id, member] : view.members) {
             ownerless_times ownerless;
             const auto plan = planOwnership(view, cells, id, {}, ownerless, kernel::milliseconds(2000),
-                                            kernel::time_point {});
+                                            kernel::time_point{});
             taken += plan.take.size();
         }
         RC_ASSERT(taken == cells.size());
@@ -274,8 +274,8 @@
     const std::vector<std::string> cells = cellNames(twoDomains());
     ownerless_times ownerless;
     const kernel::milliseconds grace(2000);
-    const auto first = planOwnership(view, cells, "one", {}, ownerless, grace, kernel::time_point {});
-    const auto later = planOwnership(view, cells, "one", {}, ownerless, grace, kernel::time_point {} + grace);
+    const auto first = planOwnership(view, cells, "one", {}, ownerless, grace, kernel::time_point{});
+    const auto later = planOwnership(view, cells, "one", {}, ownerless, grace, kernel::time_point{} + grace);
     EXPECT_LT(first.take.size(), cells.size());
     EXPECT_EQ(later.take.size(), cells.size());
 }
