--- a/tests/scenario/main.cpp
+++ b/tests/scenario/main.cpp
@@ -17,6 +17,8 @@
                                            "DIR", command);
     TCLAP::ValueArg<std::uint16_t> port("", "first-port", "ports are counted up from here", false, 21000, "N",
                                         command);
+    TCLAP::ValueArg<std::string> costs("", "costs", "file for what the processes used", false, "", "FILE",
+                                       command);
     TCLAP::SwitchArg verbose("v", "verbose", "print each step", command);
     TCLAP::UnlabeledValueArg<std::string> file("scenario", "scenario file", true, "", "FILE", command);
     command.parse(argc, argv);
@@ -29,7 +31,7 @@
     std::filesystem::remove_all(directory.getValue());
     return kernel::runOnce(argc, argv, [&](boost::asio::io_context &context) -> kernel::task<int> {
         scenario::runner_options options{programs.getValue(), directory.getValue(), port.getValue(),
-                                         verbose.getValue()};
+                                         verbose.getValue(), costs.getValue()};
         scenario::scenario_runner runner(context, options, document);
         co_return co_await runner.run();
     });
--- a/tests/scenario/process_set.cpp
+++ b/tests/scenario/process_set.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
+#include <unistd.h>
 
 namespace almond::scenario {
 
@@ -11,6 +13,10 @@
 
 namespace {
 
+// Positions in /proc/PID/stat after the command's name.
+constexpr std::size_t userTimeField = 11;
+constexpr std::size_t systemTimeField = 12;
+constexpr std::size_t residentField = 21;
 constexpr int endTimeoutMs = 5000;
 constexpr int startTimeoutMs = 10'000;
 constexpr kernel::milliseconds pollInterval{10};
@@ -24,6 +30,25 @@
     return list;
 }
 
+//! Reads the accounts that the kernel keeps for a process.
+process_cost costOf(qint64 pid)
+{
+    const std::string folder = "/proc/" + std::to_string(pid);
+    std::ifstream statFile(folder + "/stat");
+    std::string text((std::istreambuf_iterator<char>(statFile)), std::istreambuf_iterator<char>());
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::vector<std::string> values;
+    for (std::string value; fields >> value;)
+        values.push_back(value);
+    process_cost cost;
+    if (values.size() <= residentField)
+        return cost;
+    const double ticks = std::stod(values[userTimeField]) + std::stod(values[systemTimeField]);
+    cost.cpuSeconds = ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+    cost.residentKb = std::stoll(values[residentField]) * ::sysconf(_SC_PAGESIZE) / 1024;
+    return cost;
+}
+
 } // namespace
 
 process_set::process_set(std::string programs, std::string directory)
@@ -91,6 +116,16 @@
     return m_processes.at(name)->readAllStandardOutput().toStdString();
 }
 
+std::map<std::string, process_cost> process_set::costs() const
+{
+    std::map<std::string, process_cost> all;
+    for (const auto &[name, process] : m_processes) {
+        if (process->state() == QProcess::Running)
+            all[name] = costOf(process->processId());
+    }
+    return all;
+}
+
 task<command_result> process_set::run(std::string program, std::vector<std::string> arguments)
 {
     QProcess process;
--- a/tests/scenario/process_set.h
+++ b/tests/scenario/process_set.h
@@ -18,6 +18,13 @@
     std::string output;
 };
 
+//! What a process has used since it started.
+struct process_cost
+{
+    double cpuSeconds = 0;
+    std::int64_t residentKb = 0;
+};
+
 //! The processes of one scenario. Ends all of them, each by its own id, when it is destroyed.
 class process_set
 {
@@ -37,6 +44,8 @@
     kernel::task<bool> awaitEnd(std::string name, kernel::milliseconds limit);
     //! What \a name has printed so far.
     std::string output(const std::string &name);
+    //! What each running process has used so far, by name.
+    std::map<std::string, process_cost> costs() const;
     //! Runs a command to its end.
     kernel::task<command_result> run(std::string program, std::vector<std::string> arguments);
 
--- a/tests/scenario/scenario_runner.cpp
+++ b/tests/scenario/scenario_runner.cpp
@@ -69,6 +69,7 @@
         if (good)
             good = co_await runStep(document);
     }
+    co_await writeCosts();
     const bool held = report();
     co_return good &&held ? 0 : 1;
 }
@@ -468,6 +469,20 @@
     return all;
 }
 
+task<void> scenario_runner::writeCosts()
+{
+    if (m_options.costsFile.empty())
+        co_return;
+    json costs;
+    for (const auto &[name, cost] : m_processes.costs())
+        costs["processes"][name] = {{"cpuSeconds", cost.cpuSeconds}, {"residentKb", cost.residentKb}};
+    costs["store"] = co_await call(m_addresses.of("platform", "listen"), http::verb::get, "/admin/stats", {});
+    costs["seconds"] = static_cast<double>((kernel::systemNow() - m_startedAt).count()) / 1000.0;
+    costs["loads"] = m_loads;
+    costs["topology"] = m_document.value("topology", json::object());
+    std::ofstream(m_options.costsFile) << costs.dump(2) << '\n';
+}
+
 bool scenario_runner::report()
 {
     const history::history_summary found = check();
--- a/tests/scenario/scenario_runner.h
+++ b/tests/scenario/scenario_runner.h
@@ -18,6 +18,8 @@
     std::string directory;
     std::uint16_t firstPort = 21'000;
     bool verbose = false;
+    //! Where to write what the processes used and the store was asked; empty for nowhere.
+    std::string costsFile;
 };
 
 //! Runs the steps of one scenario file and checks its history. The steps are listed in docs/SCENARIOS.md.
@@ -58,6 +60,7 @@
     kernel::task<json> call(std::string address, http::verb verb, std::string path, json body);
     std::string addressFor(const std::string &target);
     bool report();
+    kernel::task<void> writeCosts();
     history::events collect() const;
     history::history_summary check() const;
     json latencies() const;
@@ -78,6 +81,7 @@
     std::map<std::string, json> m_loads;
     std::set<std::string> m_unfinished;
     std::size_t m_files = 0;
+    kernel::time_point m_startedAt = kernel::systemNow();
 };
 
 } // namespace almond::scenario
