Route by the busy count that minions report with each answer

Change: an answer carries Almond-Busy; load is that count plus what was sent since; a full minion is asked again by one request after its pause.

--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -26,6 +26,7 @@
 constexpr double deadlineMs = 2000;
 constexpr double failingAnswerMs = 0.2;
 constexpr double retryPollMs = 1;
+constexpr std::size_t overloadFactor = 4;
 
 enum class shape { plain, oneSlow, oneInTwentySlow, oneInTwentyFailing };
 
@@ -34,6 +35,8 @@
     double load = 0.8;
     shape kind = shape::plain;
     routing_policy policy = routing_policy::leastLoaded;
+    //! Least connections by probing all minions and reserving, in place of the policy.
+    bool probes = false;
     std::size_t requests = 0;
     std::uint64_t seed = 1;
 };
@@ -68,7 +71,7 @@
     std::vector<std::string> tried;
 };
 
-enum class event_kind { arrival, reachMinion, answer, poll };
+enum class event_kind { arrival, probed, reachMinion, leaveMinion, answer, poll };
 
 struct event
 {
@@ -80,6 +83,7 @@
     std::size_t minion = 0;
     attempt_result result = attempt_result::answered;
     double sentMs = 0;
+    std::int64_t busy = 0;
 
     bool operator<(const event &other) const
     {
@@ -159,9 +163,15 @@
             m_waiting[item.gateway].push_back(item.request);
             dispatch(item.gateway);
             break;
+        case event_kind::probed:
+            sendToLeastConnected(item);
+            break;
         case event_kind::reachMinion:
             reachMinion(item);
             break;
+        case event_kind::leaveMinion:
+            leaveMinion(item);
+            break;
         case event_kind::answer:
             takeAnswer(item);
             break;
@@ -172,8 +182,41 @@
         }
     }
 
+    //! Asks every minion for its count; the answers are there after one round trip.
+    void probe(std::size_t gateway)
+    {
+        auto &waiting = m_waiting[gateway];
+        for (; !waiting.empty(); waiting.pop_front()) {
+            event probed;
+            probed.kind = event_kind::probed;
+            probed.atMs = m_now + 2 * crossDomainMs;
+            probed.request = waiting.front();
+            probed.gateway = gateway;
+            push(probed);
+        }
+    }
+
+    void sendToLeastConnected(const event &item)
+    {
+        std::size_t best = 0;
+        for (std::size_t minion = 1; minion < minionCount; ++minion) {
+            if (m_busy[minion] + m_reserved[minion] < m_busy[best] + m_reserved[best])
+                best = minion;
+        }
+        if (m_busy[best] + m_reserved[best] >= slotCount) {
+            event again = item;
+            again.atMs = m_now + retryPollMs;
+            push(again);
+            return;
+        }
+        ++m_reserved[best];
+        send(item.gateway, best, item.request);
+    }
+
     void dispatch(std::size_t gateway)
     {
+        if (m_trial.probes)
+            return probe(gateway);
         auto &waiting = m_waiting[gateway];
         while (!waiting.empty()) {
             const std::size_t number = waiting.front();
@@ -206,7 +249,7 @@
 
     void send(std::size_t gateway, std::size_t minion, std::size_t number)
     {
-        ++m_gateways[gateway].minions[minion].inFlight;
+        recordSend(m_gateways[gateway].minions[minion]);
         m_requests[number].tried.push_back(std::to_string(minion));
         event reach;
         reach.kind = event_kind::reachMinion;
@@ -220,6 +263,7 @@
 
     void reachMinion(event item)
     {
+        m_reserved[item.minion] -= m_trial.probes ? 1 : 0;
         double timeMs = 0;
         if (m_busy[item.minion] >= slotCount) {
             item.result = attempt_result::refusedSlots;
@@ -230,19 +274,28 @@
             ++m_busy[item.minion];
             timeMs = m_requests[item.request].serviceMs * slowFactor(m_trial, item.minion);
         }
+        item.kind = event_kind::leaveMinion;
+        item.atMs = m_now + timeMs;
+        push(item);
+    }
+
+    //! The answer leaves the minion with the number of slots that are taken then.
+    void leaveMinion(event item)
+    {
+        if (item.result == attempt_result::answered)
+            --m_busy[item.minion];
+        item.busy = m_busy[item.minion];
         item.kind = event_kind::answer;
-        item.atMs = m_now + timeMs + travelMs(item.gateway, item.minion);
+        item.atMs = m_now + travelMs(item.gateway, item.minion);
         push(item);
     }
 
     void takeAnswer(const event &item)
     {
         minion_state &minion = m_gateways[item.gateway].minions[item.minion];
-        --minion.inFlight;
         const milliseconds elapsed(std::llround(m_now - item.sentMs));
-        recordAttempt(minion, m_rules, item.result, elapsed, toTime(m_now));
+        recordAttempt(minion, m_rules, {item.result, elapsed, item.busy}, toTime(m_now));
         if (item.result == attempt_result::answered) {
-            --m_busy[item.minion];
             const double latency = m_now - m_requests[item.request].arrivedMs;
             m_outcome.latencies.push_back(latency);
             m_outcome.late += latency > deadlineMs ? 1 : 0;
@@ -264,6 +317,7 @@
     std::vector<std::deque<std::size_t>> m_waiting;
     std::vector<bool> m_polling;
     std::vector<std::int64_t> m_busy;
+    std::vector<std::int64_t> m_reserved = std::vector<std::int64_t>(minionCount);
     std::vector<request> m_requests;
     std::priority_queue<event> m_events;
     outcome m_outcome;
@@ -349,6 +403,12 @@
         outcome result = simulation(t).run();
         print(name, result, limitP99);
     }
+    // Above capacity every waiting request would probe all minions all the time.
+    if (t.load > 1)
+        return;
+    t.probes = true;
+    outcome probed = simulation(t).run();
+    print("least-conn.", probed, limitP99);
 }
 
 } // namespace
@@ -356,14 +416,17 @@
 int main(int argc, char **argv)
 {
     trial t;
-    t.requests = argc > 1 ? std::stoul(argv[1]) : 200'000;
+    const std::size_t requests = argc > 1 ? std::stoul(argv[1]) : 200'000;
     t.seed = argc > 2 ? std::stoul(argv[2]) : 1;
-    std::printf("requests %zu, seed %llu; goodput is answers in time over capacity\n", t.requests,
+    std::printf("requests %zu, seed %llu; goodput is answers in time over capacity\n", requests,
                 static_cast<unsigned long long>(t.seed));
     for (const double load : {0.5, 0.8, 0.95, 1.3}) {
         t.load = load;
+        // The queue needs several deadlines' time to fill.
+        t.requests = load > 1 ? requests * overloadFactor : requests;
         compare(("Load " + std::to_string(load).substr(0, 4)).c_str(), t);
     }
+    t.requests = requests;
     t.load = 0.8;
     t.kind = shape::oneSlow;
     compare("Load 0.8, one minion ten times slower", t);
--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -31,7 +31,8 @@
     for (auto _ : bench) {
         const auto index = chooseMinion(state, rules, {}, now);
         minion_state &chosen = state.minions[*index];
-        recordAttempt(chosen, rules, attempt_result::answered, milliseconds(5), now);
+        recordSend(chosen);
+        recordAttempt(chosen, rules, {attempt_result::answered, milliseconds(5), 3}, now);
         benchmark::DoNotOptimize(chosen);
     }
     bench.counters["memory_bytes_per_minion"]
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -71,6 +71,17 @@
     return result.answer.result_int() >= 500 ? attempt_result::failed : attempt_result::answered;
 }
 
+//! What a minion said of its slots with its answer, if anything.
+std::optional<std::int64_t> reportedBusy(const http::exchange_result &result)
+{
+    if (result.status != exchange_status::answered)
+        return std::nullopt;
+    const std::string_view text = http::header(result.answer, "Almond-Busy");
+    std::int64_t busy = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), busy);
+    return parsed.ec == std::errc() && !text.empty() ? std::optional(busy) : std::nullopt;
+}
+
 } // namespace
 
 request_router::request_router(boost::asio::io_context &context, router_context services)
@@ -240,7 +251,7 @@
     minion_state &chosen = service.routing.minions[index];
     const std::string id = chosen.id;
     const std::string address = chosen.address;
-    ++chosen.inFlight;
+    recordSend(chosen);
     ++m_counters.attempts;
     asked.tried.push_back(id);
     const time_point startedAt = m_services.clock();
@@ -248,7 +259,11 @@
         = attemptTimeout(chosen, m_services.rules, asked.idempotent, asked.deadline - startedAt);
     http::exchange_result result = co_await m_services.minions->exchange(
         address, forwardedRequest(asked.message, asked.id, address), timeout);
-    finishAttempt(asked.service, id, address, resultFor(result), m_services.clock() - startedAt);
+    attempt_report report;
+    report.result = resultFor(result);
+    report.elapsed = m_services.clock() - startedAt;
+    report.busy = reportedBusy(result);
+    finishAttempt(asked.service, id, address, report);
     minion_state answered;
     answered.id = id;
     answered.address = address;
@@ -256,14 +271,13 @@
 }
 
 void request_router::finishAttempt(const std::string &service, const std::string &minion,
-                                   const std::string &address, attempt_result result, milliseconds elapsed)
+                                   const std::string &address, const attempt_report &report)
 {
     service_state &state = m_state[service];
     for (minion_state &item : state.routing.minions) {
         if (item.id != minion || item.address != address)
             continue;
-        --item.inFlight;
-        recordAttempt(item, m_services.rules, result, elapsed, m_services.clock());
+        recordAttempt(item, m_services.rules, report, m_services.clock());
     }
     wakeOne(state);
 }
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -96,7 +96,7 @@
     attempt_outcome judgeFailure(routed_request &asked, service_state &service, http::exchange_status status);
     bool mayRetry(routed_request &asked, service_state &service);
     void finishAttempt(const std::string &service, const std::string &minion, const std::string &address,
-                       attempt_result result, kernel::milliseconds elapsed);
+                       const attempt_report &report);
     http::reply giveUp(const routed_request &asked) const;
     http::reply finish(http::reply answer, const routed_request &asked, kernel::time_point startedAt);
     void wakeOne(service_state &service);
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -16,9 +16,22 @@
     return minion.leaving || now < minion.leavingUntil;
 }
 
-bool hasSlot(const minion_state &minion)
+//! Requests at the minion: what it last reported and what was sent since, or this gateway's own alone.
+std::int64_t estimatedBusy(const minion_state &minion)
 {
-    return minion.inFlight < minion.slots;
+    if (!minion.reportedBusy)
+        return minion.inFlight;
+    return std::max(minion.inFlight, *minion.reportedBusy + minion.sentSinceReport);
+}
+
+//! A minion that was full is asked again, by one request, when its pause is over.
+bool hasSlot(const minion_state &minion, time_point now)
+{
+    if (minion.inFlight >= minion.slots)
+        return false;
+    if (estimatedBusy(minion) < minion.slots)
+        return true;
+    return now >= minion.pausedUntil && minion.sentSinceReport == 0;
 }
 
 bool isHealthy(const minion_state &minion, time_point now)
@@ -71,17 +84,17 @@
 double loadOf(const minion_state &minion)
 {
     const double typical = minion.typicalMs > 0 ? minion.typicalMs : 1;
-    return (static_cast<double>(minion.inFlight) + 1) * typical;
+    return (static_cast<double>(estimatedBusy(minion)) + 1) * typical;
 }
 
 std::size_t leastLoaded(routing_state &state, const std::vector<std::size_t> &indexes)
 {
-    std::int64_t fewest = state.minions[indexes.front()].inFlight;
+    std::int64_t fewest = estimatedBusy(state.minions[indexes.front()]);
     for (const std::size_t index : indexes)
-        fewest = std::min(fewest, state.minions[index].inFlight);
+        fewest = std::min(fewest, estimatedBusy(state.minions[index]));
     std::vector<std::size_t> best;
     for (const std::size_t index : indexes) {
-        if (state.minions[index].inFlight == fewest)
+        if (estimatedBusy(state.minions[index]) == fewest)
             best.push_back(index);
     }
     // Among equals, two random ones are compared by their usual answer time.
@@ -133,7 +146,7 @@
                                         const std::vector<std::string> &tried, time_point now)
 {
     const auto usable
-        = [&](const minion_state &minion) { return !isLeaving(minion, now) && hasSlot(minion); };
+        = [&](const minion_state &minion) { return !isLeaving(minion, now) && hasSlot(minion, now); };
     auto indexes = indexesOf(state, [&](const minion_state &minion) {
         return usable(minion) && isHealthy(minion, now) && !wasTried(minion, tried);
     });
@@ -149,12 +162,25 @@
     return pick(state, rules.policy, indexes);
 }
 
-void recordAttempt(minion_state &minion, const routing_rules &rules, attempt_result result,
-                   milliseconds elapsed, time_point now)
+void recordSend(minion_state &minion)
 {
-    switch (result) {
+    ++minion.inFlight;
+    ++minion.sentSinceReport;
+}
+
+void recordAttempt(minion_state &minion, const routing_rules &rules, const attempt_report &report,
+                   time_point now)
+{
+    --minion.inFlight;
+    if (report.busy) {
+        minion.reportedBusy = report.busy;
+        minion.sentSinceReport = 0;
+        if (*report.busy >= minion.slots)
+            minion.pausedUntil = now + rules.refusalPause;
+    }
+    switch (report.result) {
     case attempt_result::answered: {
-        const auto sample = static_cast<double>(elapsed.count());
+        const auto sample = static_cast<double>(report.elapsed.count());
         minion.typicalMs
             = minion.typicalMs == 0 ? sample : minion.typicalMs + averageWeight * (sample - minion.typicalMs);
         minion.failuresInRow = 0;
--- a/src/routing/routing_state.h
+++ b/src/routing/routing_state.h
@@ -56,6 +56,10 @@
     time_point pausedUntil{};
     time_point leavingUntil{};
     double typicalMs = 0; // moving average of answer times; 0 before the first
+    //! Requests of all gateways at the minion, as it said with its newest answer; unknown before the first.
+    std::optional<std::int64_t> reportedBusy;
+    //! Requests that this gateway has sent since that answer.
+    std::int64_t sentSinceReport = 0;
 };
 
 //! All minions of one service as one gateway sees them.
@@ -75,9 +79,21 @@
 std::optional<std::size_t> chooseMinion(routing_state &state, const routing_rules &rules,
                                         const std::vector<std::string> &tried, time_point now);
 
-//! Records how an attempt at \a minion ended after \a elapsed.
-void recordAttempt(minion_state &minion, const routing_rules &rules, attempt_result result,
-                   milliseconds elapsed, time_point now);
+//! Records that a request is sent to \a minion.
+void recordSend(minion_state &minion);
+
+//! How an attempt ended, and what the minion said with its answer.
+struct attempt_report
+{
+    attempt_result result = attempt_result::answered;
+    milliseconds elapsed{0};
+    //! Slots taken at the minion after this request, if it said so.
+    std::optional<std::int64_t> busy;
+};
+
+//! Records how an attempt at \a minion ended.
+void recordAttempt(minion_state &minion, const routing_rules &rules, const attempt_report &report,
+                   time_point now);
 
 //! Earns the retry budget for one first attempt.
 void earnRetry(routing_state &state, const routing_rules &rules);
--- a/standins/minion_main.cpp
+++ b/standins/minion_main.cpp
@@ -91,14 +91,8 @@
         co_await kernel::sleepFor(kernel::milliseconds(10));
 }
 
-kernel::task<reply> handle(minion_process &minion, http::request asked)
+kernel::task<reply> execute(minion_process &minion, http::request asked)
 {
-    if (asked.target() == "/admin/faults")
-        co_return takeFaults(minion, asked);
-    if (minion.leaving)
-        co_return refuse("leaving");
-    if (minion.busy >= minion.slots)
-        co_return refuse("slots");
     ++minion.busy;
     minion.log->write("execute",
                       {{"minion", minion.id},
@@ -111,6 +105,21 @@
     co_return answerOf(minion, asked);
 }
 
+kernel::task<reply> handle(minion_process &minion, http::request asked)
+{
+    if (asked.target() == "/admin/faults")
+        co_return takeFaults(minion, asked);
+    reply answer;
+    if (minion.leaving)
+        answer = refuse("leaving");
+    else if (minion.busy >= minion.slots)
+        answer = refuse("slots");
+    else
+        answer = co_await execute(minion, std::move(asked));
+    answer.message.set("Almond-Busy", std::to_string(minion.busy));
+    co_return answer;
+}
+
 kernel::task<void> stop(minion_process &minion)
 {
     minion.leaving = true;
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -26,6 +26,12 @@
 
 const time_point start = kernel::fromMillis(1'000'000);
 
+void fail(minion_state &minion, const routing_rules &rules)
+{
+    recordSend(minion);
+    recordAttempt(minion, rules, {attempt_result::failed, milliseconds(1), std::nullopt}, start);
+}
+
 routing_policy anyPolicy()
 {
     return *rc::gen::element(routing_policy::random, routing_policy::roundRobin, routing_policy::twoChoices,
@@ -52,13 +58,12 @@
                 break;
             minion_state &chosen = state.minions[*index];
             RC_ASSERT(!chosen.leaving && now >= chosen.leavingUntil && chosen.inFlight < chosen.slots);
-            ++chosen.inFlight;
+            recordSend(chosen);
             if (*rc::gen::inRange(0, 2) == 0)
                 continue;
-            --chosen.inFlight;
             const auto result = *rc::gen::element(attempt_result::answered, attempt_result::refusedSlots,
                                                   attempt_result::refusedLeaving, attempt_result::failed);
-            recordAttempt(chosen, rules, result, milliseconds(5), now);
+            recordAttempt(chosen, rules, {result, milliseconds(5), std::nullopt}, now);
         }
     }));
 }
@@ -68,7 +73,7 @@
     routing_state state = stateWith(2, 8);
     const routing_rules rules;
     for (int failure = 0; failure < rules.ejectAfter; ++failure)
-        recordAttempt(state.minions[0], rules, attempt_result::failed, milliseconds(1), start);
+        fail(state.minions[0], rules);
     for (int number = 0; number < 20; ++number)
         EXPECT_EQ(chooseMinion(state, rules, {}, start), 1U);
     const time_point later = start + rules.firstEjection;
@@ -76,7 +81,7 @@
     EXPECT_EQ(chooseMinion(state, rules, {}, later), 0U);
     state.minions[0].inFlight = 1;
     EXPECT_EQ(chooseMinion(state, rules, {}, later), 1U);
-    recordAttempt(state.minions[0], rules, attempt_result::answered, milliseconds(1), later);
+    recordAttempt(state.minions[0], rules, {attempt_result::answered, milliseconds(1), std::nullopt}, later);
     EXPECT_EQ(state.minions[0].ejections, 0);
 }
 
@@ -86,7 +91,7 @@
     const routing_rules rules;
     for (minion_state &minion : state.minions) {
         for (int failure = 0; failure < rules.ejectAfter; ++failure)
-            recordAttempt(minion, rules, attempt_result::failed, milliseconds(1), start);
+            fail(minion, rules);
     }
     EXPECT_TRUE(chooseMinion(state, rules, {}, start).has_value());
 }
@@ -116,6 +121,19 @@
     EXPECT_FALSE(chooseMinion(state, {}, {}, start).has_value());
 }
 
+TEST(Routing, FullMinionIsAskedAgainByOneRequestAfterItsPause)
+{
+    routing_state state = stateWith(1, 8);
+    const routing_rules rules;
+    recordSend(state.minions[0]);
+    recordAttempt(state.minions[0], rules, {attempt_result::refusedSlots, milliseconds(1), 8}, start);
+    EXPECT_FALSE(chooseMinion(state, rules, {}, start).has_value());
+    const time_point later = start + rules.refusalPause;
+    EXPECT_TRUE(chooseMinion(state, rules, {}, later).has_value());
+    recordSend(state.minions[0]);
+    EXPECT_FALSE(chooseMinion(state, rules, {}, later).has_value());
+}
+
 TEST(Outcome, MethodAndHeaderDecideWhetherARequestIsIdempotent)
 {
     http::request get(http::verb::get, "/", 11);
