Drop requests that have waited too long to be answered in time

Change: a request that has waited is dropped, as not run, when fewer than three usual answer times are left to it.

--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -126,7 +126,8 @@
             m_now = next.atMs;
             handle(next);
         }
-        m_outcome.spanMs = m_requests.back().arrivedMs;
+        // Until the last answer: what queued up must not count as served at the rate of arrivals.
+        m_outcome.spanMs = m_now;
         return std::move(m_outcome);
     }
 
@@ -221,7 +222,10 @@
         while (!waiting.empty()) {
             const std::size_t number = waiting.front();
             request &asked = m_requests[number];
-            if (m_now - asked.arrivedMs >= deadlineMs) {
+            const double leftMs = deadlineMs - (m_now - asked.arrivedMs);
+            const milliseconds left(std::llround(leftMs));
+            const bool hasWaited = m_now > asked.arrivedMs;
+            if (leftMs <= 0 || (hasWaited && isTooLate(m_gateways[gateway], m_rules, left))) {
                 waiting.pop_front();
                 ++m_outcome.late;
                 continue;
@@ -296,6 +300,7 @@
         const milliseconds elapsed(std::llround(m_now - item.sentMs));
         recordAttempt(minion, m_rules, {item.result, elapsed, item.busy}, toTime(m_now));
         if (item.result == attempt_result::answered) {
+            recordAnswerTime(m_gateways[item.gateway], elapsed);
             const double latency = m_now - m_requests[item.request].arrivedMs;
             m_outcome.latencies.push_back(latency);
             m_outcome.late += latency > deadlineMs ? 1 : 0;
@@ -353,8 +358,8 @@
         freeAt.push(start + timeMs);
         result.latencies.push_back(start + timeMs - now);
         result.late += start + timeMs - now > deadlineMs ? 1 : 0;
+        result.spanMs = std::max(result.spanMs, start + timeMs);
     }
-    result.spanMs = now;
     return result;
 }
 
--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -19,15 +19,20 @@
 task<void> config_follower::run()
 {
     while (true) {
-        const bool answered = co_await poll();
-        if (!answered)
-            co_await askPeers();
-        else
-            co_await compact();
+        co_await refresh();
         co_await kernel::sleepFor(m_settings.pollInterval);
     }
 }
 
+task<void> config_follower::refresh()
+{
+    const bool answered = co_await poll();
+    if (!answered)
+        co_await askPeers();
+    else
+        co_await compact();
+}
+
 task<bool> config_follower::poll()
 {
     const kernel::time_point asked = m_clock();
--- a/src/config/config_follower.h
+++ b/src/config/config_follower.h
@@ -27,16 +27,17 @@
     config_follower(store::store_api store, kernel::clock_source clock, follower_settings settings,
                     peer_config_source peers);
 
-    //! Polls until the process ends.
+    //! Refreshes until the process ends.
     kernel::task<void> run();
-    //! Reads the store once; returns false when it did not answer.
-    kernel::task<bool> poll();
+    //! Reads the store once, or asks the peers when it does not answer.
+    kernel::task<void> refresh();
 
     config_view_ptr view() const { return m_view; }
     //! Calls \a listener after each new version.
     void onChange(std::function<void()> listener) { m_listeners.push_back(std::move(listener)); }
 
 private:
+    kernel::task<bool> poll();
     kernel::task<bool> reload();
     kernel::task<void> askPeers();
     kernel::task<void> compact();
--- a/src/daemon/gateway_daemon.cpp
+++ b/src/daemon/gateway_daemon.cpp
@@ -150,6 +150,7 @@
                          {"retries", counters.retries},
                          {"retriesDenied", counters.retriesDenied},
                          {"queueFull", counters.queueFull},
+                         {"shed", counters.shed},
                          {"queueExpired", counters.queueExpired}};
     const http::server_counters served = m_server ? m_server->counters() : http::server_counters{};
     state["callers"] = {{"connections", m_server ? m_server->connectionCount() : 0},
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -187,7 +187,9 @@
     bool hasWaited = false;
     while (true) {
         const time_point now = m_services.clock();
-        if (now >= asked.deadline) {
+        const bool late = hasWaited && isTooLate(service.routing, m_services.rules, asked.deadline - now);
+        m_counters.shed += late ? 1 : 0;
+        if (now >= asked.deadline || late) {
             wakeOne(service);
             co_return giveUp(asked);
         }
@@ -279,6 +281,8 @@
             continue;
         recordAttempt(item, m_services.rules, report, m_services.clock());
     }
+    if (report.result == attempt_result::answered)
+        recordAnswerTime(state.routing, report.elapsed);
     wakeOne(state);
 }
 
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -29,6 +29,8 @@
     std::uint64_t retriesDenied = 0;
     std::uint64_t queueFull = 0;
     std::uint64_t queueExpired = 0;
+    //! Dropped because too little time was left.
+    std::uint64_t shed = 0;
 };
 
 //! What a router needs from the rest of its process.
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -11,6 +11,11 @@
 constexpr double averageWeight = 0.1;
 constexpr int longestBackoffShift = 10;
 
+double movingAverage(double average, double sample)
+{
+    return average == 0 ? sample : average + averageWeight * (sample - average);
+}
+
 bool isLeaving(const minion_state &minion, time_point now)
 {
     return minion.leaving || now < minion.leavingUntil;
@@ -181,8 +186,7 @@
     switch (report.result) {
     case attempt_result::answered: {
         const auto sample = static_cast<double>(report.elapsed.count());
-        minion.typicalMs
-            = minion.typicalMs == 0 ? sample : minion.typicalMs + averageWeight * (sample - minion.typicalMs);
+        minion.typicalMs = movingAverage(minion.typicalMs, sample);
         minion.failuresInRow = 0;
         minion.ejections = 0;
         break;
@@ -199,6 +203,17 @@
     }
 }
 
+void recordAnswerTime(routing_state &state, milliseconds elapsed)
+{
+    const auto sample = static_cast<double>(elapsed.count());
+    state.typicalMs = movingAverage(state.typicalMs, sample);
+}
+
+bool isTooLate(const routing_state &state, const routing_rules &rules, milliseconds left)
+{
+    return static_cast<double>(left.count()) < state.typicalMs * rules.answerTimesNeeded;
+}
+
 void earnRetry(routing_state &state, const routing_rules &rules)
 {
     state.retryTokens = std::min(rules.retryBurst, state.retryTokens + rules.retryShare);
--- a/src/routing/routing_state.h
+++ b/src/routing/routing_state.h
@@ -37,6 +37,8 @@
     milliseconds shortestAttempt{250};
     //! Retries that may reach a minion, as a share of first attempts.
     double retryShare = 0.1;
+    //! A request that has waited is dropped when fewer usual answer times than this are left to it.
+    double answerTimesNeeded = 3;
     double retryBurst = 20;
 };
 
@@ -67,6 +69,7 @@
 {
     std::vector<minion_state> minions;
     std::size_t nextInTurn = 0;
+    double typicalMs = 0; // moving average of answer times over all minions; 0 before the first
     double retryTokens = 0;
     std::mt19937_64 random{1};
 };
@@ -95,6 +98,13 @@
 void recordAttempt(minion_state &minion, const routing_rules &rules, const attempt_report &report,
                    time_point now);
 
+//! Takes an answer time into the average over all minions.
+void recordAnswerTime(routing_state &state, milliseconds elapsed);
+
+//! Tells whether a request with \a left until its deadline would most likely be answered too late. Sending it
+//! would take a slot from one that can still be answered in time.
+bool isTooLate(const routing_state &state, const routing_rules &rules, milliseconds left);
+
 //! Earns the retry budget for one first attempt.
 void earnRetry(routing_state &state, const routing_rules &rules);
 //! Spends one retry; false when the budget is used up.
