--- a/apps/ctl/main.cpp
+++ b/apps/ctl/main.cpp
@@ -27,13 +27,13 @@
 }
 
 //! Fills what the command line left open from the settings file.
-int applySettings(const std::string &file, ctl::control_options &options)
+int applySettings(const std::string &file, bool checkOnly, ctl::control_options &options)
 {
-    if (file.empty())
+    if (file.empty() && !checkOnly)
         return -1;
     settings::control_settings read;
-    const int status
-        = apps::loadSettings(apps::daemon_options{file, false, false}, settings::readControlSettings, read);
+    const int status = apps::loadSettings(apps::daemon_options{file, checkOnly, false},
+                                          settings::readControlSettings, read);
     if (status >= 0)
         return status;
     if (options.storeAddress.empty())
@@ -61,8 +61,9 @@
     TCLAP::ValueArg<std::string> submission("", "submission", "submission to ask about again", false, "",
                                             "ID", command);
     TCLAP::ValueArg<std::string> phase("", "phase", "only jobs in this phase", false, "", "PHASE", command);
+    TCLAP::SwitchArg checkOnly("", "check-settings", "check the settings file and exit", command);
     TCLAP::SwitchArg asJson("j", "json", "print one JSON object", command);
-    TCLAP::UnlabeledMultiArg<std::string> words("command", "what to do", true, "COMMAND", command);
+    TCLAP::UnlabeledMultiArg<std::string> words("command", "what to do", false, "COMMAND", command);
     try {
         command.setExceptionHandling(false);
         command.parse(argc, argv);
@@ -82,7 +83,7 @@
     options.asJson = asJson.getValue();
     if (base.getValue() >= 0)
         options.base = static_cast<std::uint64_t>(base.getValue());
-    return applySettings(file.getValue(), options);
+    return applySettings(file.getValue(), checkOnly.getValue(), options);
 }
 
 int checkSettings(const ctl::control_options &options)
--- a/tests/scenario/scenario_runner.cpp
+++ b/tests/scenario/scenario_runner.cpp
@@ -139,7 +139,8 @@
                                                       {"awaitEnd", &scenario_runner::stepAwaitEnd},
                                                       {"faults", &scenario_runner::stepFaults},
                                                       {"hold", &scenario_runner::stepHold},
-                                                      {"awaitVersion", &scenario_runner::stepAwaitVersion}};
+                                                      {"awaitVersion", &scenario_runner::stepAwaitVersion},
+                                                      {"http", &scenario_runner::stepHttp}};
     for (const auto &[name, argument] : document.items()) {
         say(name + " " + argument.dump());
         const auto found = steps.find(name);
@@ -403,6 +404,26 @@
     co_return true;
 }
 
+//! One request to a gateway or another process, with the status and words that its answer must have.
+task<bool> scenario_runner::stepHttp(json argument)
+{
+    const std::string address
+        = m_addresses.of(argument.value("to", "gateway-0"), argument.value("port", "listen"));
+    const http::verb verb = boost::beast::http::string_to_verb(argument.value("method", "GET"));
+    http::request message(verb, argument.at("path").get<std::string>(), 11);
+    message.set(http::field::host, address);
+    message.body() = argument.contains("body") ? argument.at("body").dump() : "";
+    message.body().append(argument.value("padding", std::size_t{0}), ' ');
+    const http::exchange_result result = co_await m_pool.exchange(address, std::move(message), callTimeout);
+    const std::string &body = result.answer.body();
+    const bool right = static_cast<int>(result.answer.result_int()) == argument.value("status", 200)
+        && body.find(argument.value("says", "")) != std::string::npos;
+    if (!right)
+        co_return complain("answered " + std::to_string(result.answer.result_int()) + ": " + body
+                           + result.detail);
+    co_return true;
+}
+
 task<command_result> scenario_runner::control(std::vector<std::string> arguments)
 {
     const std::vector<std::string> ways
--- a/tests/scenario/scenario_runner.h
+++ b/tests/scenario/scenario_runner.h
@@ -53,6 +53,7 @@
     kernel::task<bool> stepFaults(json argument);
     kernel::task<bool> stepHold(json argument);
     kernel::task<bool> stepAwaitVersion(json argument);
+    kernel::task<bool> stepHttp(json argument);
 
     kernel::task<bool> changeDomain(std::string verb, std::string event, std::string name);
     kernel::task<command_result> control(std::vector<std::string> arguments);
