Preempt batch work for urgent jobs and quarantine workers that fail everything

Both are decisions over plain structs (preemption, worker_health); the cell's owner carries them out.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -174,7 +174,7 @@
         ("a config change in force", f"{CONFIG_LIMIT_S} s", f"{1 / POLLS_PER_S:.1f} s poll + store; peers in an outage", fits(True)),
         ("an urgent start with room", f"{URGENT_LIMIT_S} s", f"{start_s:.1f} s (two commits and an exchange)", fits(start_s < URGENT_LIMIT_S)),
         ("an urgent start while its cell's owner dies", f"{URGENT_LIMIT_S} s", f"{takeover_s + start_s:.1f} s", fits(takeover_s + start_s < URGENT_LIMIT_S)),
-        ("an urgent start in a full cell", f"{URGENT_LIMIT_S} s", "no preemption yet", fits(False)),
+        ("an urgent start in a full cell", f"{URGENT_LIMIT_S} s", f"{start_s + COMMIT_INTERVAL_S + 0.2:.1f} s (an eviction first; scenario urgent_work)", fits(start_s + COMMIT_INTERVAL_S + 0.2 < URGENT_LIMIT_S)),
         ("a dead owner's cells taken up", "-", f"{takeover_s:.1f} s (lease {STORE_LEASE_S:.0f}, renewal {RENEW_S:.0f}, grace {TAKEOVER_GRACE_S:.0f}, {per_cell * recover_s:.2f} to recover {per_cell:,.0f} jobs)", "-"),
         ("a dead worker's tasks queued again", "-", f"{TASK_LEASE_S + CLOCK_MARGIN_S + SYNC_INTERVAL_S:.0f} s", "-"),
         ("the same, owner and worker dead together", "-", "10 min (`detachedLimitMs`): an owner cut from the store may still renew", "**weak**: shorter only at the price of running tasks in long outages"),
--- a/src/placement/cell_owner.cpp
+++ b/src/placement/cell_owner.cpp
@@ -134,7 +134,7 @@
 {
     const config::config_view_ptr view = m_services.config();
     return {view->confirmedAt, m_services.ownershipConfirmedAt(),
-            config::isOpen(view->parsed, domainOfCell(m_name))};
+            config::isOpen(view->parsed, domainOfCell(m_name)), m_evicting};
 }
 
 task<void> cell_owner::driveWorker(std::shared_ptr<cell_owner> self, std::string id)
@@ -176,7 +176,7 @@
         const auto entry = m_state.workers.find(id);
         const bool sameIncarnation
             = entry != m_state.workers.end() && entry->second.incarnation == worker->link.incarnation;
-        if (sameIncarnation && worker->listed
+        if (sameIncarnation && worker->listed && !isQuarantined(worker->health, now)
             && isReachable(worker->link, now, m_services.settings.reachableLimit))
             usable.insert(id);
     }
@@ -221,6 +221,7 @@
     const plan_inputs inputs = planInputs(next.records, now);
     const auto starts = planStarts(m_state, m_services.config()->parsed, inputs, now);
     std::copy(starts.begin(), starts.end(), std::back_inserter(next.records));
+    preempt(inputs);
     if (!inputs.domainOpen || starts.empty())
         planMoves(inputs, next.records, now);
     forgotten_record forgotten;
@@ -234,6 +235,29 @@
     return next;
 }
 
+void cell_owner::preempt(const plan_inputs &inputs)
+{
+    std::set<std::string> concerned;
+    for (const attempt_id &id : planPreemption(m_state, m_services.config()->parsed, inputs, m_evicting)) {
+        m_evicting.insert(id);
+        concerned.insert(m_state.jobs.find(id.job)->second.worker);
+    }
+    wakeWorkers(concerned);
+}
+
+//! Called before \a ended is applied, while the job still names its worker.
+void cell_owner::takeEnd(const ended_record &ended)
+{
+    m_evicting.erase(ended.id);
+    const auto job = m_state.jobs.find(ended.id.job);
+    if (job == m_state.jobs.end())
+        return;
+    const auto worker = m_workers.find(job->second.worker);
+    if (worker != m_workers.end())
+        recordEnd(worker->second->health, m_services.settings.quarantine, ended.id.job, ended.outcome,
+                  job->second.failures, m_services.clock());
+}
+
 task<bool> cell_owner::appendBatch(const batch &next)
 {
     store::journal_entry entry;
@@ -266,6 +290,8 @@
 {
     ++m_counters.entries;
     for (const cell_record &record : next.records) {
+        if (const auto *ended = std::get_if<ended_record>(&record))
+            takeEnd(*ended);
         boost::leaf::try_handle_all(
             [&]() -> boost::leaf::result<void> {
                 BOOST_LEAF_CHECK(apply(m_state, record, m_state.index));
@@ -404,6 +430,7 @@
         const auto entry = m_state.workers.find(id);
         const bool joined = entry != m_state.workers.end();
         workers[id] = {{"listed", worker->listed},
+                       {"quarantined", isQuarantined(worker->health, m_services.clock())},
                        {"incarnation", worker->link.incarnation},
                        {"answeredAtMs", kernel::toMillis(worker->link.answeredAt)},
                        {"leaseGrantedUntilMs", kernel::toMillis(worker->link.grantedUntil)},
--- a/src/placement/cell_owner.h
+++ b/src/placement/cell_owner.h
@@ -4,6 +4,8 @@
 #include "http/client.h"
 #include "kernel/completion.h"
 #include "placement/plan.h"
+#include "placement/preemption.h"
+#include "placement/worker_health.h"
 #include "placement/worker_link.h"
 #include "store/host_list.h"
 #include "store/journal.h"
@@ -29,6 +31,7 @@
     //! Time for which a job that ended is remembered.
     kernel::milliseconds retention{24 * 3600 * 1000};
     lease_rules leases;
+    quarantine_rules quarantine;
 };
 
 //! What an owner needs from the rest of its process.
@@ -94,6 +97,7 @@
         {
         }
         worker_link link;
+        worker_health health;
         kernel::wake_signal signal;
         bool listed = true;
     };
@@ -119,6 +123,8 @@
     plan_inputs planInputs(std::span<const cell_record> records, time_point now) const;
     void planMoves(const plan_inputs &inputs, std::vector<cell_record> &records, time_point now) const;
     void applyBatch(const batch &next);
+    void preempt(const plan_inputs &inputs);
+    void takeEnd(const ended_record &ended);
     void count(const cell_record &record);
     std::set<std::string> workersOf(std::span<const cell_record> records) const;
     void wakeWorkers(const std::set<std::string> &ids);
@@ -141,6 +147,8 @@
     std::size_t m_running = 0;
     std::uint64_t m_nextSubmission = 1;
     std::vector<cell_record> m_observed;
+    //! Attempts chosen to make room for urgent work whose end is still awaited.
+    std::set<attempt_id> m_evicting;
     std::vector<waiting_commit> m_waiting;
     std::map<std::string, std::shared_ptr<driven_worker>> m_workers;
     kernel::wake_signal m_commitSignal;
--- a/src/placement/worker_link.cpp
+++ b/src/placement/worker_link.cpp
@@ -27,11 +27,11 @@
         && job->second.attempt == report.id.attempt && report.outcome == attempt_outcome::done;
 }
 
-bool mustStop(const job_entry &job, bool domainOpen)
+bool mustStop(const job_entry &job, const link_inputs &inputs)
 {
-    if (job.cancelRequested)
+    if (job.cancelRequested || inputs.evicting.contains({job.spec.id, job.attempt}))
         return true;
-    return !domainOpen && job.spec.jobClass != job_class::registerTask;
+    return !inputs.domainOpen && job.spec.jobClass != job_class::registerTask;
 }
 
 void addOrders(const cell_state &cell, const worker_entry &entry, const worker_link &link,
@@ -41,7 +41,7 @@
     for (const std::string &id : entry.jobs) {
         const job_entry &job = cell.jobs.find(id)->second;
         const attempt_id attempt{id, job.attempt};
-        const bool stopped = mustStop(job, inputs.domainOpen);
+        const bool stopped = mustStop(job, inputs);
         if (!link.known.contains(attempt))
             // A worker refuses an order whose time has passed; its refusal ends the attempt.
             request.run.push_back({attempt, job.spec, job.checkpoint, stopped ? 0 : startBefore});
--- a/src/placement/worker_link.h
+++ b/src/placement/worker_link.h
@@ -51,6 +51,8 @@
     time_point ownershipConfirmedAt;
     //! Whether the failure domain takes new work.
     bool domainOpen = true;
+    //! Attempts to stop in favour of urgent work.
+    std::set<attempt_id> evicting;
 };
 
 //! Whether \a link has had an answer within \a limit.
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -3,6 +3,8 @@
 #include "placement/cell_state.h"
 #include "placement/ownership.h"
 #include "placement/plan.h"
+#include "placement/preemption.h"
+#include "placement/worker_health.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <gtest/gtest.h>
@@ -245,6 +247,60 @@
     EXPECT_EQ(domainOfCell(*moveTarget(document, "a", "a.0", 0)), "b");
 }
 
+TEST(Preemption, UrgentJobTakesTheRoomOfBatchWorkOnly)
+{
+    cell_state cell = cellWithWorker(1000);
+    applies(cell, admitted_record{jobOf("batch", 600), 1, 0, 0, "", 0});
+    job_spec kept = jobOf("register", 300);
+    kept.jobClass = job_class::registerTask;
+    applies(cell, admitted_record{kept, 1, 0, 0, "", 0});
+    applies(cell, assigned_record{"batch", "worker", 2});
+    applies(cell, assigned_record{"register", "worker", 2});
+    job_spec urgent = jobOf("urgent", 700);
+    urgent.urgent = true;
+    applies(cell, admitted_record{urgent, 3, 0, 0, "", 0});
+    const attempt_id batch{"batch", 1};
+    EXPECT_EQ(planPreemption(cell, {}, openInputs(cell), {}), std::vector<attempt_id>{batch});
+    EXPECT_TRUE(planPreemption(cell, {}, openInputs(cell), {batch}).empty());
+    job_spec larger = jobOf("larger", 800);
+    larger.urgent = true;
+    applies(cell, admitted_record{larger, 4, 0, 0, "", 0});
+    applies(cell, cancelled_record{"urgent", 5});
+    EXPECT_TRUE(planPreemption(cell, {}, openInputs(cell), {}).empty());
+}
+
+TEST(Preemption, RoutineWorkEvictsNobody)
+{
+    cell_state cell = cellWithWorker(1000);
+    applies(cell, admitted_record{jobOf("batch", 600), 1, 0, 0, "", 0});
+    applies(cell, assigned_record{"batch", "worker", 2});
+    applies(cell, admitted_record{jobOf("other", 700), 3, 0, 0, "", 0});
+    EXPECT_TRUE(planPreemption(cell, {}, openInputs(cell), {}).empty());
+}
+
+TEST(Quarantine, WorkerThatFailsDifferentJobsIsLeftOut)
+{
+    worker_health health;
+    const quarantine_rules rules;
+    const time_point now = kernel::fromMillis(1000);
+    for (const char *job : {"a", "b", "c"}) {
+        EXPECT_FALSE(isQuarantined(health, now));
+        recordEnd(health, rules, job, attempt_outcome::failed, 0, now);
+    }
+    EXPECT_TRUE(isQuarantined(health, now));
+    EXPECT_FALSE(isQuarantined(health, now + rules.firstPause));
+}
+
+TEST(Quarantine, JobThatFailsEverywhereQuarantinesNobody)
+{
+    worker_health health;
+    const quarantine_rules rules;
+    const time_point now = kernel::fromMillis(1000);
+    for (int time = 0; time < 10; ++time)
+        recordEnd(health, rules, "bad", attempt_outcome::failed, time, now);
+    EXPECT_FALSE(isQuarantined(health, now));
+}
+
 TEST(Ownership, EachCellHasOneDesiredOwner)
 {
     EXPECT_TRUE(rc::check([] {
