Give a silent worker no more time, so that a dead one's tasks resume

Cause: the owner asked an unreachable worker each second, and each request granted six more seconds, so its leases never counted as over: the jobs of a worker that never came back stayed assigned for good. Ruled out: the margin and the detached limit (the cell had one owner throughout), the host list (the worker stayed listed). Change: a worker that has been silent for two seconds is still asked, but gets no time and no orders; a worker refuses a start without a lease.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -37,6 +37,7 @@
 TAKEOVER_GRACE_S = 2.0
 TASK_LEASE_S = 6.0
 CLOCK_MARGIN_S = 1.0
+SILENCE_S = 2.0
 HTTP_HEADER_BYTES = 260
 DAY_S = 86_400
 
@@ -176,7 +177,7 @@
         ("an urgent start while its cell's owner dies", f"{URGENT_LIMIT_S} s", f"{takeover_s + start_s:.1f} s", fits(takeover_s + start_s < URGENT_LIMIT_S)),
         ("an urgent start in a full cell", f"{URGENT_LIMIT_S} s", f"{start_s + COMMIT_INTERVAL_S + 0.2:.1f} s (an eviction first; scenario urgent_work)", fits(start_s + COMMIT_INTERVAL_S + 0.2 < URGENT_LIMIT_S)),
         ("a dead owner's cells taken up", "-", f"{takeover_s:.1f} s (lease {STORE_LEASE_S:.0f}, renewal {RENEW_S:.0f}, grace {TAKEOVER_GRACE_S:.0f}, {per_cell * recover_s:.2f} to recover {per_cell:,.0f} jobs)", "-"),
-        ("a dead worker's tasks queued again", "-", f"{TASK_LEASE_S + CLOCK_MARGIN_S + SYNC_INTERVAL_S:.0f} s", "-"),
+        ("a dead worker's tasks queued again", "-", f"{SILENCE_S + TASK_LEASE_S + CLOCK_MARGIN_S + SYNC_INTERVAL_S:.0f} s", "-"),
         ("the same, owner and worker dead together", "-", "10 min (`detachedLimitMs`): an owner cut from the store may still renew", "**weak**: shorter only at the price of running tasks in long outages"),
     ))
 
--- a/src/placement/worker_link.cpp
+++ b/src/placement/worker_link.cpp
@@ -66,14 +66,17 @@
     request.epoch = cell.epoch;
     request.sequence = ++link.sequence;
     request.incarnation = link.incarnation;
-    const time_point renewalBase = std::min(now, inputs.ownershipConfirmedAt + rules.detachedLimit);
-    const time_point leaseUntil = renewalBase + rules.taskLease;
-    request.leaseUntilMs = kernel::toMillis(leaseUntil);
-    link.grantedUntil = std::max(link.grantedUntil, leaseUntil);
-    link.askedAt = now;
+    if (link.firstAskedAt == time_point{})
+        link.firstAskedAt = now;
+    const bool grants = now - std::max(link.firstAskedAt, link.answeredAt) <= rules.silenceLimit;
+    if (grants) {
+        const time_point renewalBase = std::min(now, inputs.ownershipConfirmedAt + rules.detachedLimit);
+        link.grantedUntil = std::max(link.grantedUntil, renewalBase + rules.taskLease);
+    }
+    request.leaseUntilMs = kernel::toMillis(link.grantedUntil);
     const worker_entry *entry = findWorker(cell, worker);
     const bool sameIncarnation = entry && entry->incarnation == link.incarnation;
-    if (sameIncarnation)
+    if (sameIncarnation && grants)
         addOrders(cell, *entry, link, inputs, rules, request);
     request.acknowledge.assign(link.acknowledge.begin(), link.acknowledge.end());
     request.publish.assign(link.publish.begin(), link.publish.end());
--- a/src/placement/worker_link.h
+++ b/src/placement/worker_link.h
@@ -14,6 +14,9 @@
 {
     //! How long one renewal keeps a worker's tasks running.
     kernel::milliseconds taskLease{6000};
+    //! A worker that has been silent for this long is still asked, but gets no more time and no orders.
+    //! Without this the leases of a dead worker would never count as over.
+    kernel::milliseconds silenceLimit{2000};
     //! Added before a task lease counts as over elsewhere; covers the difference between two hosts' clocks.
     kernel::milliseconds clockMargin{1000};
     //! How long an owner that can't reach the store goes on renewing.
@@ -31,7 +34,7 @@
     time_point grantedUntil{};
     //! When the worker last accepted a request of this epoch.
     time_point answeredAt{};
-    time_point askedAt{};
+    time_point firstAskedAt{};
     //! Attempts that the worker has reported.
     std::set<attempt_id> known;
     //! Ended attempts that the worker may forget.
--- a/standins/worker_state.cpp
+++ b/standins/worker_state.cpp
@@ -93,6 +93,8 @@
         return;
     if (kernel::toMillis(now) > order.startBeforeMs)
         return refuseStart(worker, order, "late", now);
+    if (now > worker.leaseUntil)
+        return refuseStart(worker, order, "no lease", now);
     const auto available = worker.capacity - runningDemand(worker);
     if (!placement::fits(order.spec.demand, available))
         return refuseStart(worker, order, "no room", now);
--- a/tests/unit/lease_test.cpp
+++ b/tests/unit/lease_test.cpp
@@ -46,6 +46,9 @@
     std::vector<owner> owners;
     std::vector<standins::worker_state> workers;
     std::deque<message> network;
+    //! Workers that nothing reaches, and workers whose answers reach nobody.
+    std::set<std::size_t> cut;
+    std::set<std::size_t> muted;
     std::map<std::string, int> running;
     std::map<std::string, int> done;
     bool doubled = false;
@@ -146,10 +149,12 @@
 
 void deliver(world &w, const message &item)
 {
+    if (w.cut.contains(item.worker))
+        return;
     standins::worker_state &worker = w.workers[item.worker];
     const sync_response response = standins::handleSync(worker, item.request, w.now);
     owner &self = w.owners[item.owner];
-    const bool answerLost = tests::draw(0, 4) == 0;
+    const bool answerLost = w.muted.contains(item.worker) || tests::draw(0, 4) == 0;
     if (answerLost || self.paused || item.request.epoch != self.cell.epoch)
         return;
     worker_link &link = self.links[worker.id];
@@ -170,6 +175,12 @@
         w.network.pop_front();
 }
 
+void toggle(std::set<std::size_t> &links, std::size_t number)
+{
+    if (links.erase(number) == 0)
+        links.insert(number);
+}
+
 void disturb(world &w)
 {
     const int event = tests::draw(0, 40);
@@ -178,6 +189,10 @@
         w.owners[number].paused = !w.owners[number].paused;
     if (event == 1 && !w.owners[number].paused)
         takeOver(w, w.owners[number], "owner-" + std::to_string(number));
+    if (event == 3)
+        toggle(w.cut, number);
+    if (event == 4)
+        toggle(w.muted, number);
     if (event == 2) {
         standins::worker_state &worker = w.workers[number];
         for (const auto &[id, task] : worker.tasks)
@@ -221,6 +236,7 @@
 {
     lease_rules rules;
     rules.taskLease = milliseconds(2000);
+    rules.silenceLimit = milliseconds(600);
     rules.clockMargin = milliseconds(400);
     rules.detachedLimit = milliseconds(3000);
     rules.startValidity = milliseconds(1000);
@@ -270,6 +286,25 @@
     EXPECT_EQ(response.attempts.front().outcome, attempt_outcome::notStarted);
 }
 
+TEST(Leases, DeadWorkersAttemptsAreOverThoughItIsStillAsked)
+{
+    world w = makeWorld(shortRules());
+    owner &self = w.owners[0];
+    takeOver(w, self, "owner");
+    job_spec spec;
+    spec.id = "job";
+    const std::string worker = workerName(0);
+    append(w, self,
+           {worker_record{worker, "one", "", "", {1000, 1000, 0}}, admitted_record{spec, 1, 0, 0, "", 0},
+            assigned_record{"job", worker, 1}});
+    worker_link &link = self.links[worker];
+    link.answeredAt = w.now;
+    const milliseconds limit = w.rules.silenceLimit + w.rules.taskLease + w.rules.clockMargin + stepTime * 2;
+    for (const time_point end = w.now + limit; w.now < end; w.now += stepTime)
+        nextRequest(self.cell, "cell", worker, link, {w.now, w.now, true, {}}, w.rules, w.now);
+    EXPECT_EQ(lapsedAttempts(self.cell, worker, link, w.rules, w.now).size(), 1U);
+}
+
 TEST(Leases, DetachedOwnerStopsRenewingAtItsLimit)
 {
     cell_state cell;
