--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -131,6 +131,25 @@
     EXPECT_EQ(loser.newest, 1U);
 }
 
+TEST(ConfigJournal, StalePatchIsRefusedAndNotMerged)
+{
+    race r;
+    config::submit_result first;
+    config::submit_result second;
+    config::submit_result stale;
+    r.submit(0, "anna", "1", first);
+    r.settle();
+    r.submit(1, "bert", "2", second, config::withdrawalPatch("a", true));
+    r.settle();
+    r.submit(1, "carl", "3", stale, config::withdrawalPatch("b", true));
+    r.settle();
+    EXPECT_EQ(second.status, submit_status::accepted);
+    EXPECT_EQ(stale.status, submit_status::stale);
+    EXPECT_EQ(stale.newest, 2U);
+    EXPECT_EQ(stale.winner, "bert");
+    EXPECT_EQ(r.store.state.items.count("config/entry/00000000000003"), 0U);
+}
+
 TEST(ConfigJournal, SubmissionAskedAgainIsReportedAsAccepted)
 {
     race r;
--- a/tests/unit/lease_test.cpp
+++ b/tests/unit/lease_test.cpp
@@ -46,7 +46,7 @@
     std::vector<owner> owners;
     std::vector<standins::worker_state> workers;
     std::deque<message> network;
-    //! Workers that nothing reaches, and workers whose answers reach nobody.
+    //! Links from an owner to a worker that carry nothing, and workers whose answers reach nobody.
     std::set<std::size_t> cut;
     std::set<std::size_t> muted;
     std::map<std::string, int> running;
@@ -149,7 +149,7 @@
 
 void deliver(world &w, const message &item)
 {
-    if (w.cut.contains(item.worker))
+    if (w.cut.contains(item.owner * w.workers.size() + item.worker))
         return;
     standins::worker_state &worker = w.workers[item.worker];
     const sync_response response = standins::handleSync(worker, item.request, w.now);
@@ -190,7 +190,7 @@
     if (event == 1 && !w.owners[number].paused)
         takeOver(w, w.owners[number], "owner-" + std::to_string(number));
     if (event == 3)
-        toggle(w.cut, number);
+        toggle(w.cut, tests::draw<std::size_t>(0, w.owners.size() * w.workers.size()));
     if (event == 4)
         toggle(w.muted, number);
     if (event == 2) {
