--- a/apps/ctl/main.cpp
+++ b/apps/ctl/main.cpp
@@ -1,10 +1,9 @@
 #include "apps/command_line.h"
 #include "apps/ctl/control_session.h"
 #include "kernel/process.h"
+#include "kernel/text.h"
 #include "settings/process_settings.h"
 
-#include <sstream>
-
 namespace {
 
 using namespace almond;
@@ -17,15 +16,6 @@
       "job submit|list|show ID|cancel ID..., dump IP:PORT, check gateway|scheduler.\n"
       "Exit status: 0 done, 1 failed, 2 bad input, 3 refused, 4 unknown: ask again.";
 
-std::vector<std::string> splitList(const std::string &text)
-{
-    std::vector<std::string> items;
-    std::istringstream stream(text);
-    for (std::string item; std::getline(stream, item, ',');)
-        items.push_back(item);
-    return items;
-}
-
 //! Fills what the command line left open from the settings file.
 int applySettings(const std::string &file, bool checkOnly, ctl::control_options &options)
 {
@@ -75,7 +65,7 @@
     }
     options.words = words.getValue();
     options.storeAddress = store.getValue();
-    options.schedulers = splitList(schedulers.getValue());
+    options.schedulers = kernel::splitList(schedulers.getValue());
     options.author = author.getValue();
     options.file = input.getValue();
     options.submission = submission.getValue();
--- a/standins/caller_main.cpp
+++ b/standins/caller_main.cpp
@@ -1,11 +1,11 @@
 #include "http/client.h"
+#include "kernel/text.h"
 #include "standins/record_log.h"
 #include "standins/standin_process.h"
 
 #include <algorithm>
 #include <memory>
 #include <random>
-#include <sstream>
 
 namespace {
 
@@ -51,15 +51,6 @@
     std::size_t nextGateway = 0;
 };
 
-std::vector<std::string> splitList(const std::string &text)
-{
-    std::vector<std::string> items;
-    std::istringstream stream(text);
-    for (std::string item; std::getline(stream, item, ',');)
-        items.push_back(item);
-    return items;
-}
-
 struct planned_request
 {
     std::string id;
@@ -207,7 +198,7 @@
     if (!standins::parseCommandLine(command, argc, argv))
         return 2;
     caller_process caller;
-    caller.plan = {splitList(gateways.getValue()),
+    caller.plan = {kernel::splitList(gateways.getValue()),
                    service.getValue(),
                    name.getValue(),
                    requests.getValue(),
