Keep records at the platform and relay stand-ins, and report usage late

Change: the platform records each write and whether it was answered, the relay each change of its faults; a worker reports usage two seconds after it was measured.

--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -10,9 +10,11 @@
     TCLAP::CmdLine command("Stand-in of the platform's key-value service and host list", ' ', "0.1.0");
     TCLAP::ValueArg<std::string> listen("l", "listen", "address", true, "", "IP:PORT", command);
     TCLAP::ValueArg<std::int64_t> lag("", "host-lag-ms", "lag of the host list", false, 500, "MS", command);
+    TCLAP::ValueArg<std::string> record("", "record", "file for the record", false, "", "FILE", command);
     if (!standins::parseCommandLine(command, argc, argv))
         return 2;
-    standins::platform_service platform(kernel::systemNow, kernel::milliseconds(lag.getValue()));
+    standins::platform_service platform(kernel::systemNow, kernel::milliseconds(lag.getValue()),
+                                        record.getValue());
     std::unique_ptr<http::server> server;
     const auto start = [&](boost::asio::io_context &context) {
         auto handle = [&platform](http::request asked) { return platform.handle(std::move(asked)); };
--- a/standins/platform_service.cpp
+++ b/standins/platform_service.cpp
@@ -73,9 +73,11 @@
 
 } // namespace
 
-platform_service::platform_service(kernel::clock_source clock, kernel::milliseconds hostListLag)
+platform_service::platform_service(kernel::clock_source clock, kernel::milliseconds hostListLag,
+                                   const std::string &record)
     : m_clock(std::move(clock))
     , m_hostListLag(hostListLag)
+    , m_log(record)
 {
 }
 
@@ -98,6 +100,13 @@
         --m_faults.loseAnswers;
         answer.action = http::reply_action::dropConnection;
     }
+    if (isWrite(asked)) {
+        m_log.write("store-write",
+                    {{"method", std::string(asked.method_string())},
+                     {"path", path},
+                     {"status", answer.message.result_int()},
+                     {"answered", answer.action == http::reply_action::send}});
+    }
     co_return answer;
 }
 
--- a/standins/platform_service.h
+++ b/standins/platform_service.h
@@ -2,6 +2,7 @@
 
 #include "http/server.h"
 #include "standins/platform_state.h"
+#include "standins/record_log.h"
 
 #include <map>
 #include <string>
@@ -23,7 +24,7 @@
 class platform_service
 {
 public:
-    platform_service(kernel::clock_source clock, kernel::milliseconds hostListLag);
+    platform_service(kernel::clock_source clock, kernel::milliseconds hostListLag, const std::string &record);
 
     kernel::task<http::reply> handle(http::request asked);
 
@@ -39,6 +40,7 @@
     kernel::clock_source m_clock;
     kernel::milliseconds m_hostListLag;
     platform_state m_state;
+    record_log m_log;
     platform_faults m_faults;
     std::map<std::string, std::uint64_t> m_calls;
 };
--- a/standins/relay_main.cpp
+++ b/standins/relay_main.cpp
@@ -1,5 +1,6 @@
 #include "http/address.h"
 #include "http/server.h"
+#include "standins/record_log.h"
 #include "standins/standin_process.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -47,6 +48,7 @@
 {
     std::string target;
     relay_faults faults;
+    std::unique_ptr<standins::record_log> log;
     std::list<std::weak_ptr<relay_pair>> pairs;
     std::unique_ptr<tcp::acceptor> acceptor;
     std::unique_ptr<http::server> admin;
@@ -127,6 +129,7 @@
         co_return http::makeErrorReply(http::status::bad_request, "PUT an object to /admin/faults");
     relay.faults.cut = body.value("cut", relay.faults.cut);
     relay.faults.delayMs = body.value("delayMs", relay.faults.delayMs);
+    relay.log->write("link-faults", {{"target", relay.target}, {"faults", body}});
     applyToOpen(relay, relay.faults.cut, body.value("silenceOpen", false));
     co_return http::makeReply(http::status::ok, "");
 }
@@ -141,10 +144,12 @@
     TCLAP::ValueArg<std::string> target("t", "target", "where it relays to", true, "", "IP:PORT", command);
     TCLAP::ValueArg<std::string> admin("a", "admin", "address for /admin/faults", true, "", "IP:PORT",
                                        command);
+    TCLAP::ValueArg<std::string> record("", "record", "file for the record", false, "", "FILE", command);
     if (!standins::parseCommandLine(command, argc, argv))
         return 2;
     relay_process relay;
     relay.target = target.getValue();
+    relay.log = std::make_unique<standins::record_log>(record.getValue());
     const auto start = [&](asio::io_context &context) {
         const http::host_port own = http::splitAddress(listen.getValue());
         relay.acceptor = std::make_unique<tcp::acceptor>(
--- a/standins/worker_state.cpp
+++ b/standins/worker_state.cpp
@@ -101,6 +101,7 @@
     worker_task &task = worker.tasks[order.id];
     task.order = order;
     task.progressMs = order.checkpoint.empty() ? 0 : std::stod(order.checkpoint);
+    task.startedAt = now;
     json fields = describe(worker, order.id, task);
     fields["checkpoint"] = order.checkpoint;
     worker.sink("task-started", std::move(fields));
@@ -193,7 +194,8 @@
     response.capacity = worker.capacity;
     for (const auto &[id, task] : worker.tasks) {
         placement::attempt_report report{id, task.running, task.outcome, checkpointOf(task), {}};
-        report.usage = {task.order.spec.demand.millicores, task.order.spec.demand.memoryMb, 1.0};
+        if (now - task.startedAt >= worker.usageLag)
+            report.usage = {task.order.spec.demand.millicores, task.order.spec.demand.memoryMb, 1.0};
         response.attempts.push_back(std::move(report));
     }
     return response;
--- a/standins/worker_state.h
+++ b/standins/worker_state.h
@@ -21,6 +21,7 @@
     placement::attempt_outcome outcome = placement::attempt_outcome::done;
     double progressMs = 0;
     std::int64_t throttlePercent = 100;
+    time_point startedAt{};
 };
 
 //! Receives what the worker did, for its record.
@@ -39,6 +40,8 @@
     time_point advancedAt{};
     //! A worker that fails every attempt it starts.
     bool failsEverything = false;
+    //! Usage is reported so long after it was measured; before that it is unknown.
+    kernel::milliseconds usageLag{2000};
     std::map<attempt_id, worker_task> tasks;
     event_sink sink;
 };
