--- /dev/null
+++ b/src/fleet/job_owner.cpp
@@ -0,0 +1,322 @@
+#include "fleet/job_owner.h"
+
+#include "jobs/job_codec.h"
+#include "observe/log.h"
+
+namespace almond::fleet {
+
+using jobs::ledger_record;
+using kernel::task;
+using observe::log_level;
+using store::append_status;
+
+job_owner::job_owner(boost::asio::io_context &context, owner_services services, won_term term)
+    : m_context(context)
+    , m_services(std::move(services))
+    , m_term(std::move(term))
+    , m_since(m_services.clock())
+    , m_commitSignal(context.get_executor())
+{
+}
+
+task<bool> job_owner::load()
+{
+    store::journal_entries journal = co_await store::readFenced(m_services.store, job_key::journal, 0);
+    if (journal.status != store::store_status::ok)
+        co_return false;
+    const auto self = shared_from_this();
+    store::follow_events events;
+    events.written = [self](const store::stored_item &item) { self->takeJobKey(item); };
+    events.removed = [](const std::string &) {};
+    events.listed = [self] { self->m_commitSignal.wake(); };
+    store::follow_rules rules;
+    rules.gatherPause = m_services.rules.commitInterval / 2;
+    m_jobs = std::make_shared<store::prefix_follower>(m_services.store, m_services.clock, job_key::prefix,
+                                                      rules, std::move(events));
+    kernel::spawn(m_context.get_executor(),
+                  [](std::shared_ptr<store::prefix_follower> follower) -> task<void> {
+                      co_await follower->run();
+                  }(m_jobs));
+    while (!m_jobs->isListed() && !m_over)
+        co_await m_commitSignal.wait(m_services.rules.tickInterval);
+    std::size_t skipped = 0;
+    for (const store::journal_entry &entry : journal.entries) {
+        for (const json &record : entry.body)
+            skipped += jobs::apply(m_book, jobs::decodeRecord(record)) ? 0 : 1;
+        m_index = entry.index;
+    }
+    m_loaded = true;
+    for (const std::string &id : m_cancelled)
+        jobs::cancelJob(m_book, id);
+    observe::log(log_level::info, "jobs loaded",
+                 {{"term", m_term.term},
+                  {"entries", journal.entries.size()},
+                  {"jobs", m_book.jobs.size()},
+                  {"skippedRecords", skipped},
+                  {"tookMs", (m_services.clock() - m_since).count()}});
+    co_return !m_over;
+}
+
+void job_owner::takeJobKey(const store::stored_item &item)
+{
+    if (item.key.starts_with(job_key::cancelled)) {
+        takeCancel(item.key.substr(std::string_view(job_key::cancelled).size()));
+        return;
+    }
+    try {
+        jobs::addJob(m_book, jobs::decodeJob(json::parse(item.value)));
+    } catch (const json::exception &error) {
+        observe::log(log_level::error, "an accepted job can't be read",
+                     {{"key", item.key}, {"error", error.what()}});
+        return;
+    }
+    if (m_loaded)
+        m_commitSignal.wake();
+}
+
+void job_owner::takeCancel(const std::string &id)
+{
+    if (!m_cancelled.insert(id).second || !m_loaded)
+        return;
+    const bool cancelled = jobs::cancelJob(m_book, id);
+    observe::log(log_level::info, "job cancelled", {{"job", id}, {"wasOpen", cancelled}});
+    for (const auto &[incarnation, load] : m_book.loads) {
+        const auto worker = m_workers.find(incarnation);
+        const auto first = load.runs.lower_bound(jobs::task_name{id, 0, 0, 0});
+        for (auto run = first; run != load.runs.end() && run->first.job == id; ++run) {
+            if (worker != m_workers.end())
+                kernel::spawn(m_context.get_executor(),
+                              stopRun(shared_from_this(), worker->second, run->first, run->second));
+        }
+    }
+}
+
+void job_owner::start()
+{
+    // Workers that the list no longer names may still run what an earlier owner started there.
+    for (const auto &[incarnation, load] : m_book.loads) {
+        if (m_workers.contains(incarnation))
+            continue;
+        auto ghost = std::make_shared<driven_worker>(m_context.get_executor());
+        ghost->session = jobs::openSession({}, m_since + m_services.rules.sessions.lease);
+        ghost->session.incarnation = incarnation;
+        ghost->session.listed = false;
+        m_workers[incarnation] = ghost;
+    }
+    for (const auto &[incarnation, worker] : m_workers)
+        drive(worker);
+    kernel::spawn(m_context.get_executor(), commitLoop(shared_from_this()));
+    kernel::spawn(m_context.get_executor(), tickLoop(shared_from_this()));
+}
+
+task<void> job_owner::stop()
+{
+    resign("stopping");
+    while (m_loops > 0)
+        co_await kernel::sleepFor(milliseconds(5));
+}
+
+void job_owner::resign(const std::string &reason)
+{
+    if (m_over)
+        return;
+    m_over = true;
+    if (m_jobs)
+        m_jobs->stop();
+    for (const auto &[incarnation, worker] : m_workers)
+        worker->signal.wake();
+    m_commitSignal.wake();
+    observe::log(log_level::info, "no longer the owner", {{"term", m_term.term}, {"reason", reason}});
+}
+
+task<void> job_owner::commitLoop(self_ptr self)
+{
+    ++m_loops;
+    while (!m_over) {
+        const time_point begun = m_services.clock();
+        const batch next = prepareBatch(begun);
+        bool committed = true;
+        if (!next.records.empty())
+            committed = co_await appendBatch(next);
+        if (!committed)
+            break;
+        finishBatch(next);
+        const milliseconds spent = m_services.clock() - begun;
+        if (spent < m_services.rules.commitInterval)
+            co_await kernel::sleepFor(m_services.rules.commitInterval - spent);
+        co_await m_commitSignal.wait(milliseconds(500));
+    }
+    --m_loops;
+}
+
+job_owner::batch job_owner::prepareBatch(time_point now)
+{
+    batch next;
+    std::vector<jobs::task_name> touched;
+    for (ledger_record &record : std::exchange(m_observed, {})) {
+        if (!jobs::apply(m_book, record))
+            continue;
+        touched.push_back(record.task);
+        next.records.push_back(std::move(record));
+    }
+    for (const auto &[incarnation, worker] : m_workers)
+        next.ends[incarnation] = worker->session.endsRead;
+    const jobs::fleet_config_ptr config = m_services.config();
+    for (const std::string &id : jobs::jobsToGiveUp(m_book, *config, touched)) {
+        ledger_record record;
+        record.kind = jobs::record_kind::gaveUp;
+        record.task.job = id;
+        jobs::apply(m_book, record);
+        next.records.push_back(record);
+        observe::log(log_level::info, "job given up: a task failed too often", {{"job", id}});
+    }
+    jobs::openDueOccurrences(m_book, m_services.unixClock());
+    const milliseconds configAge = now - m_services.configConfirmedAt();
+    if (configAge < m_services.rules.configValidity && !m_book.withWaiting.empty()) {
+        for (ledger_record &record :
+             jobs::planStarts(m_book, *config, candidates(now), m_services.rules.startsPerCommit)) {
+            if (jobs::apply(m_book, record))
+                next.records.push_back(std::move(record));
+        }
+    }
+    for (const ledger_record &record : next.records)
+        m_undurable.insert(record.task.job);
+    return next;
+}
+
+std::vector<jobs::candidate> job_owner::candidates(time_point now) const
+{
+    const jobs::fleet_config_ptr config = m_services.config();
+    std::vector<jobs::candidate> usable;
+    for (const auto &[incarnation, worker] : m_workers) {
+        const jobs::worker_session &session = worker->session;
+        const bool open = !config->withdrawnDomains.contains(session.info.failureDomain);
+        const bool refusing = worker->refusedAt != time_point{}
+            && now - worker->refusedAt < m_services.rules.refusalPause;
+        if (!open || refusing || !jobs::mayTakeWork(session, m_services.rules.sessions, now))
+            continue;
+        const auto load = m_book.loads.find(incarnation);
+        usable.push_back(
+            jobs::makeCandidate(session.info, load == m_book.loads.end() ? nullptr : &load->second));
+    }
+    return usable;
+}
+
+task<bool> job_owner::appendBatch(const batch &next)
+{
+    store::journal_entry entry;
+    entry.index = m_index + 1;
+    entry.writer = m_services.processId;
+    entry.submission = m_services.processId + "/" + std::to_string(m_term.term) + "/"
+        + std::to_string(++m_submission);
+    entry.body = json::array();
+    for (const ledger_record &record : next.records)
+        entry.body.push_back(jobs::encodeRecord(record));
+    store::journal_fence fence;
+    fence.ownerKey = election_key::owner;
+    fence.ownerRevision = m_term.ownerRevision;
+    while (true) {
+        const store::append_result result = co_await store::appendFenced(
+            m_services.store, job_key::journal, entry, fence, store::append_limits{});
+        if (result.status == append_status::committed) {
+            m_index = entry.index;
+            ++m_counters.commits;
+            m_counters.records += next.records.size();
+            co_return true;
+        }
+        if (result.status == append_status::taken || m_over) {
+            resign("the journal has another writer");
+            co_return false;
+        }
+    }
+}
+
+void job_owner::finishBatch(const batch &next)
+{
+    m_undurable.clear();
+    for (const auto &[incarnation, number] : next.ends) {
+        const auto worker = m_workers.find(incarnation);
+        if (worker == m_workers.end() || worker->second->session.endsDurable >= number)
+            continue;
+        worker->second->session.endsDurable = number;
+        worker->second->signal.wake();
+    }
+    for (const ledger_record &record : next.records) {
+        if (record.kind != jobs::record_kind::started)
+            continue;
+        const driven_ptr worker = m_workers.at(record.worker);
+        worker->session.ordering[record.task] = record.run;
+        kernel::spawn(m_context.get_executor(), startTask(shared_from_this(), worker, record));
+    }
+}
+
+task<void> job_owner::tickLoop(self_ptr self)
+{
+    ++m_loops;
+    while (!m_over) {
+        const time_point now = m_services.clock();
+        for (auto place = m_workers.begin(); place != m_workers.end();) {
+            const driven_ptr &worker = place->second;
+            std::vector<ledger_record> lapsed = jobs::lapsedRuns(worker->session, m_book, now);
+            if (!lapsed.empty())
+                observe::log(log_level::warning, "worker's runs are over: its lease or life is",
+                             {{"worker", place->first},
+                              {"dead", worker->session.dead},
+                              {"runs", lapsed.size()}});
+            observe(std::move(lapsed));
+            const bool gone = (worker->session.dead || !worker->session.listed)
+                && !m_book.loads.contains(place->first) && worker->session.ordering.empty();
+            if (gone)
+                worker->signal.wake();
+            place = gone ? m_workers.erase(place) : std::next(place);
+        }
+        if (!m_book.withWaiting.empty() || !m_book.timers.empty())
+            m_commitSignal.wake();
+        co_await kernel::sleepFor(m_services.rules.tickInterval);
+    }
+    --m_loops;
+}
+
+void job_owner::observe(std::vector<ledger_record> records)
+{
+    if (records.empty())
+        return;
+    for (ledger_record &record : records)
+        m_observed.push_back(std::move(record));
+    m_commitSignal.wake();
+}
+
+std::optional<jobs::job_status> job_owner::statusOf(const std::string &id) const
+{
+    const auto found = m_book.jobs.find(id);
+    if (found == m_book.jobs.end())
+        return std::nullopt;
+    const jobs::job_status status = found->second.status;
+    const bool ending = status == jobs::job_status::completed || status == jobs::job_status::failed;
+    return ending && m_undurable.contains(id) ? jobs::job_status::running : status;
+}
+
+std::size_t job_owner::pendingIn(const std::string &queue) const
+{
+    std::size_t count = 0;
+    for (const std::string &id : m_book.withWaiting) {
+        const jobs::job_state &owner = m_book.jobs.find(id)->second;
+        count += owner.status == jobs::job_status::queued && owner.spec.queue == queue ? 1 : 0;
+    }
+    return count;
+}
+
+json job_owner::dump() const
+{
+    return {{"term", m_term.term},
+            {"journalIndex", m_index},
+            {"jobs", m_book.jobs.size()},
+            {"jobsWithWaitingTasks", m_book.withWaiting.size()},
+            {"workers", m_workers.size()},
+            {"busyWorkers", m_book.loads.size()},
+            {"starts", m_counters.starts},
+            {"looks", m_counters.looks},
+            {"commits", m_counters.commits}};
+}
+
+} // namespace almond::fleet
--- /dev/null
+++ b/src/fleet/job_owner.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include "fleet/owner_election.h"
+#include "jobs/planner.h"
+#include "jobs/worker_port.h"
+#include "jobs/worker_session.h"
+#include "kernel/completion.h"
+#include "store/fenced_journal.h"
+#include "store/prefix_follower.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace almond::fleet {
+
+using nlohmann::json;
+
+//! Keys under which jobs lie in the store.
+namespace job_key {
+inline constexpr const char *prefix = "almond/jobs/";
+inline constexpr const char *accepted = "almond/jobs/accepted/";
+inline constexpr const char *cancelled = "almond/jobs/cancelled/";
+inline constexpr const char *journal = "almond/journal";
+} // namespace job_key
+
+struct owner_rules
+{
+    //! Time that records are gathered before one commit; bounds the writes to the store.
+    milliseconds commitInterval{20};
+    //! Pause between checks of leases and due times.
+    milliseconds tickInterval{100};
+    //! Longest wait of one look at a worker; must stay well under the lease of its tasks.
+    milliseconds lookWait{1500};
+    //! The same where tasks that fill disturb tasks that serve, whose figures must stay fresh.
+    milliseconds closeLookWait{500};
+    //! Time for an answer beyond the wait that was asked for.
+    milliseconds retryPause{150};
+    //! Attempts to start a task before the run is given up.
+    int startAttempts = 4;
+    //! A worker that turned an order away gets no new work for this long.
+    milliseconds refusalPause{1000};
+    //! A configuration older than this starts nothing: a failure domain may have been withdrawn.
+    milliseconds configValidity{3500};
+    //! A reading of a worker's clock older than this is renewed.
+    milliseconds clockValidity{15'000};
+    std::size_t startsPerCommit = 400;
+    jobs::session_rules sessions;
+};
+
+//! What an owner needs from the rest of its process.
+struct owner_services
+{
+    std::string processId;
+    store::store_api store;
+    jobs::worker_port workers;
+    //! Monotonic time, for leases and silences.
+    kernel::clock_source clock;
+    //! Time of day, for due times.
+    kernel::clock_source unixClock;
+    std::function<jobs::fleet_config_ptr()> config;
+    std::function<time_point()> configConfirmedAt;
+    owner_rules rules;
+};
+
+struct owner_counters
+{
+    std::uint64_t commits = 0;
+    std::uint64_t records = 0;
+    std::uint64_t starts = 0;
+    std::uint64_t startsRefused = 0;
+    std::uint64_t looks = 0;
+    std::uint64_t looksFailed = 0;
+    std::uint64_t stops = 0;
+};
+
+//! Owns every job for one term: keeps the ledger, commits its records, plans, and drives the workers. All
+//! decisions are in almond::jobs; this class does their input and output.
+class job_owner : public std::enable_shared_from_this<job_owner>
+{
+public:
+    job_owner(boost::asio::io_context &context, owner_services services, won_term term);
+
+    //! Reads the journal and the accepted jobs. False when the store did not answer.
+    kernel::task<bool> load();
+    //! Starts the loops; call once, after load().
+    void start();
+    //! Ends the loops after the commit in flight.
+    kernel::task<void> stop();
+    //! Another owner has been seen, or the office is lost.
+    bool isOver() const { return m_over; }
+    void resign(const std::string &reason);
+
+    void takeWorker(const std::string &id, const std::optional<jobs::worker_info> &info);
+    void wake() { m_commitSignal.wake(); }
+
+    //! State of the job \a id as far as it is durable; empty for an unknown job.
+    std::optional<jobs::job_status> statusOf(const std::string &id) const;
+    //! Number of jobs of \a queue of which no task has started.
+    std::size_t pendingIn(const std::string &queue) const;
+    json dump() const;
+    json explain(const std::string &id) const;
+    const owner_counters &counters() const { return m_counters; }
+
+private:
+    struct driven_worker
+    {
+        explicit driven_worker(const boost::asio::any_io_executor &executor)
+            : signal(executor)
+        {
+        }
+        jobs::worker_session session;
+        kernel::wake_signal signal;
+        time_point refusedAt{};
+        bool driving = false;
+    };
+    using driven_ptr = std::shared_ptr<driven_worker>;
+    using self_ptr = std::shared_ptr<job_owner>;
+    struct batch
+    {
+        std::vector<jobs::ledger_record> records;
+        //! Ends that are durable once the batch is.
+        std::map<std::string, std::uint64_t> ends;
+    };
+
+    kernel::task<void> commitLoop(self_ptr self);
+    kernel::task<void> tickLoop(self_ptr self);
+    kernel::task<void> driveWorker(self_ptr self, driven_ptr worker);
+    kernel::task<void> startTask(self_ptr self, driven_ptr worker, jobs::ledger_record record);
+    kernel::task<void> stopRun(self_ptr self, driven_ptr worker, jobs::task_name task, std::uint32_t run);
+    kernel::task<bool> appendBatch(const batch &next);
+    kernel::task<void> lookOnce(driven_ptr worker);
+
+    void takeJobKey(const store::stored_item &item);
+    void takeCancel(const std::string &id);
+    batch prepareBatch(time_point now);
+    std::vector<jobs::candidate> candidates(time_point now) const;
+    void finishBatch(const batch &next);
+    bool takeStartAnswer(driven_worker &worker, const jobs::ledger_record &record,
+                         const jobs::order_answer &answer, int attempt, time_point sentAt);
+    void giveBack(driven_worker &worker, const jobs::ledger_record &record, const std::string &reason);
+    void observe(std::vector<jobs::ledger_record> records);
+    void stopUnwanted(const driven_ptr &worker);
+    bool needsLook(const driven_worker &worker, time_point now) const;
+    milliseconds lookWaitFor(const driven_worker &worker) const;
+    jobs::order_target targetOf(const driven_worker &worker) const;
+    void drive(const driven_ptr &worker);
+
+    boost::asio::io_context &m_context;
+    owner_services m_services;
+    won_term m_term;
+    time_point m_since{};
+    jobs::ledger m_book;
+    std::uint64_t m_index = 0;
+    std::uint64_t m_submission = 0;
+    std::set<std::string> m_cancelled;
+    std::vector<jobs::ledger_record> m_observed;
+    //! Jobs whose newest records are not durable yet.
+    std::set<std::string, std::less<>> m_undurable;
+    std::map<std::string, driven_ptr> m_workers; // by incarnation
+    std::map<std::string, std::string> m_incarnations; // by worker id
+    std::set<std::pair<std::string, std::uint32_t>> m_stopping; // task and run
+    std::shared_ptr<store::prefix_follower> m_jobs;
+    kernel::wake_signal m_commitSignal;
+    std::size_t m_loops = 0;
+    bool m_loaded = false;
+    bool m_over = false;
+    owner_counters m_counters;
+};
+
+} // namespace almond::fleet
--- /dev/null
+++ b/src/fleet/job_owner_workers.cpp
@@ -0,0 +1,291 @@
+// The part of job_owner that talks to workers.
+
+#include "fleet/job_owner.h"
+
+#include "jobs/job_codec.h"
+#include "observe/log.h"
+
+namespace almond::fleet {
+
+using jobs::ledger_record;
+using jobs::order_answer;
+using jobs::order_outcome;
+using jobs::order_refusal;
+using jobs::run_end;
+using kernel::task;
+using observe::log_level;
+
+void job_owner::takeWorker(const std::string &id, const std::optional<jobs::worker_info> &info)
+{
+    const std::string incarnation = info ? jobs::incarnationOf(*info) : "";
+    std::string &known = m_incarnations[id];
+    const auto previous = m_workers.find(known);
+    if (!known.empty() && known != incarnation && previous != m_workers.end()) {
+        previous->second->session.listed = false;
+        // A worker has one life at a time: a new one proves that the earlier one is over.
+        previous->second->session.dead = previous->second->session.dead || info.has_value();
+        observe::log(log_level::info, "worker left the list",
+                     {{"worker", known}, {"replacedBy", incarnation}});
+        previous->second->signal.wake();
+    }
+    if (!info) {
+        m_incarnations.erase(id);
+        return;
+    }
+    known = incarnation;
+    const auto found = m_workers.find(incarnation);
+    if (found != m_workers.end()) {
+        found->second->session.info = *info;
+        found->second->session.listed = true;
+        if (m_loaded)
+            drive(found->second);
+        m_commitSignal.wake();
+        return;
+    }
+    auto worker = std::make_shared<driven_worker>(m_context.get_executor());
+    const jobs::session_rules &rules = m_services.rules.sessions;
+    worker->session = jobs::openSession(*info, m_since + rules.detachedLimit + rules.lease);
+    m_workers[incarnation] = worker;
+    if (m_loaded)
+        drive(worker);
+}
+
+void job_owner::drive(const driven_ptr &worker)
+{
+    if (worker->driving || worker->session.info.address.empty())
+        return;
+    worker->driving = true;
+    kernel::spawn(m_context.get_executor(), driveWorker(shared_from_this(), worker));
+}
+
+jobs::order_target job_owner::targetOf(const driven_worker &worker) const
+{
+    return {worker.session.info.id, worker.session.info.address, m_term.term};
+}
+
+bool job_owner::needsLook(const driven_worker &worker, time_point now) const
+{
+    const jobs::worker_session &session = worker.session;
+    const bool clockOld = !session.clock || now - session.clock->at > m_services.rules.clockValidity;
+    return m_book.loads.contains(session.incarnation) || session.endsRead > session.endsDurable
+        || !session.fenced || clockOld || !session.running.empty();
+}
+
+milliseconds job_owner::lookWaitFor(const driven_worker &worker) const
+{
+    const auto load = m_book.loads.find(worker.session.incarnation);
+    if (load == m_book.loads.end() || !worker.session.fenced)
+        return milliseconds(0);
+    const bool close = load->second.fillMillicores > 0 && load->second.servingMillicores > 0;
+    return close ? m_services.rules.closeLookWait : m_services.rules.lookWait;
+}
+
+task<void> job_owner::driveWorker(self_ptr self, driven_ptr worker)
+{
+    ++m_loops;
+    while (!m_over && !worker->session.dead) {
+        const bool known = m_workers.contains(worker->session.incarnation);
+        if (!known)
+            break;
+        if (!needsLook(*worker, m_services.clock())) {
+            co_await worker->signal.wait(m_services.rules.clockValidity);
+            continue;
+        }
+        // An answer returns at once while it holds ends that were not acknowledged.
+        if (worker->session.endsRead > worker->session.endsDurable)
+            co_await worker->signal.wait(m_services.rules.closeLookWait);
+        if (!m_over)
+            co_await lookOnce(worker);
+    }
+    worker->driving = false;
+    --m_loops;
+}
+
+task<void> job_owner::lookOnce(driven_ptr worker)
+{
+    const time_point sentAt = m_services.clock();
+    jobs::look_order order;
+    order.acknowledge = worker->session.endsDurable;
+    order.wait = lookWaitFor(*worker);
+    const bool hasRuns = m_book.loads.contains(worker->session.incarnation);
+    if (hasRuns)
+        order.leaseEndMs = jobs::nextLeaseEnd(worker->session, m_services.rules.sessions, sentAt);
+    if (order.leaseEndMs)
+        jobs::noteGrant(worker->session, *order.leaseEndMs, m_services.rules.sessions);
+    ++m_counters.looks;
+    const jobs::look_answer answer = co_await m_services.workers.look(targetOf(*worker), order);
+    const time_point now = m_services.clock();
+    const order_answer &result = answer.result;
+    if (result.outcome == order_outcome::refused && result.refusal == order_refusal::fenced) {
+        resign("a worker has seen a later term");
+        co_return;
+    }
+    if (result.outcome == order_outcome::refused && result.refusal == order_refusal::otherLife)
+        worker->session.dead = true;
+    if (result.outcome != order_outcome::accepted) {
+        ++m_counters.looksFailed;
+        jobs::noteSilence(worker->session, sentAt);
+        observe::log(log_level::info, "look at a worker failed",
+                     {{"worker", worker->session.incarnation}, {"detail", result.detail}});
+        co_await kernel::sleepFor(m_services.rules.retryPause);
+        co_return;
+    }
+    const bool first = !worker->session.fenced;
+    observe(jobs::takeLook(worker->session, answer, m_book, sentAt, now));
+    stopUnwanted(worker);
+    if (first || worker->session.endsRead > worker->session.endsDurable)
+        m_commitSignal.wake();
+}
+
+void job_owner::stopUnwanted(const driven_ptr &worker)
+{
+    for (const jobs::unwanted_run &run : jobs::unwantedRuns(worker->session, m_book)) {
+        if (!m_stopping.contains({jobs::formatTask(run.task), run.run}))
+            kernel::spawn(m_context.get_executor(), stopRun(shared_from_this(), worker, run.task, run.run));
+    }
+}
+
+task<void> job_owner::stopRun(self_ptr self, driven_ptr worker, jobs::task_name name, std::uint32_t run)
+{
+    const std::pair<std::string, std::uint32_t> key(jobs::formatTask(name), run);
+    if (m_over || !m_stopping.insert(key).second)
+        co_return;
+    ++m_counters.stops;
+    bool stopped = false;
+    while (!stopped && !m_over && !worker->session.dead) {
+        const order_answer answer = co_await m_services.workers.stop(targetOf(*worker), name, run);
+        jobs::noteAnswer(worker->session, answer, m_services.clock());
+        if (answer.outcome == order_outcome::refused && answer.refusal == order_refusal::fenced)
+            resign("a worker has seen a later term");
+        stopped = answer.outcome == order_outcome::accepted || answer.outcome == order_outcome::refused;
+        const bool leaseOver = m_services.clock() > worker->session.leaseOver;
+        if (!stopped && leaseOver)
+            break;
+        if (!stopped)
+            co_await kernel::sleepFor(m_services.rules.retryPause);
+    }
+    m_stopping.erase(key);
+    worker->signal.wake();
+}
+
+void job_owner::giveBack(driven_worker &worker, const ledger_record &record, const std::string &reason)
+{
+    ++m_counters.startsRefused;
+    worker.session.ordering.erase(record.task);
+    observe::log(log_level::info, "task not started",
+                 {{"task", jobs::formatTask(record.task)},
+                  {"run", record.run},
+                  {"worker", record.worker},
+                  {"reason", reason}});
+    ledger_record ended = record;
+    ended.kind = jobs::record_kind::ended;
+    ended.end = run_end::notStarted;
+    ended.worker.clear();
+    std::vector<ledger_record> records;
+    records.push_back(std::move(ended));
+    observe(std::move(records));
+}
+
+bool job_owner::takeStartAnswer(driven_worker &worker, const ledger_record &record,
+                                const order_answer &answer, int attempt, time_point sentAt)
+{
+    const time_point now = m_services.clock();
+    jobs::noteAnswer(worker.session, answer, now);
+    if (answer.outcome == order_outcome::accepted) {
+        ++m_counters.starts;
+        worker.session.accepted[record.task] = {record.run, now};
+        worker.session.ordering.erase(record.task);
+        worker.signal.wake();
+        return true;
+    }
+    if (answer.outcome != order_outcome::refused) {
+        jobs::noteSilence(worker.session, sentAt);
+        return false;
+    }
+    if (answer.refusal == order_refusal::fenced) {
+        resign("a worker has seen a later term");
+        return true;
+    }
+    if (answer.refusal == order_refusal::late && attempt < m_services.rules.startAttempts)
+        return false;
+    if (answer.refusal == order_refusal::otherLife)
+        worker.session.dead = true;
+    worker.refusedAt = now;
+    giveBack(worker, record, answer.detail);
+    return true;
+}
+
+task<void> job_owner::startTask(self_ptr self, driven_ptr worker, ledger_record record)
+{
+    bool mayHaveArrived = false;
+    for (int attempt = 1; !m_over && !worker->session.dead; ++attempt) {
+        if (jobs::assignedRun(m_book, record.worker, record.task) != record.run)
+            break;
+        const auto owner = m_book.jobs.find(record.task.job);
+        const bool wanted = !jobs::isFinal(owner->second.status);
+        const bool exhausted = attempt > m_services.rules.startAttempts;
+        if (!mayHaveArrived && (!wanted || exhausted)) {
+            giveBack(*worker, record, wanted ? "the worker can't be reached" : "the job has ended");
+            co_return;
+        }
+        if (mayHaveArrived && (!wanted || exhausted)) {
+            // A run that was stopped before it arrived is refused when it does.
+            co_await stopRun(self, worker, record.task, record.run);
+            break;
+        }
+        const time_point sentAt = m_services.clock();
+        const auto leaseEnd = jobs::nextLeaseEnd(worker->session, m_services.rules.sessions, sentAt);
+        jobs::noteGrant(worker->session, leaseEnd.value_or(0), m_services.rules.sessions);
+        jobs::start_order order;
+        order.task = record.task;
+        order.run = record.run;
+        order.payload = owner->second.spec.payload;
+        order.leaseEndMs = leaseEnd.value_or(0);
+        if (const jobs::task_state *state = jobs::findTask(m_book, record.task))
+            order.checkpoint = state->checkpoint;
+        const order_answer answer = co_await m_services.workers.start(targetOf(*worker), order);
+        mayHaveArrived = mayHaveArrived || answer.outcome == order_outcome::unknown;
+        if (takeStartAnswer(*worker, record, answer, attempt, sentAt))
+            break;
+        co_await kernel::sleepFor(m_services.rules.retryPause);
+    }
+    worker->session.ordering.erase(record.task);
+    const auto owner = m_book.jobs.find(record.task.job);
+    const bool unwanted = owner == m_book.jobs.end() || jobs::isFinal(owner->second.status);
+    if (unwanted && !m_over && jobs::assignedRun(m_book, record.worker, record.task) == record.run)
+        co_await stopRun(self, worker, record.task, record.run);
+}
+
+json job_owner::explain(const std::string &id) const
+{
+    const auto found = m_book.jobs.find(id);
+    if (found == m_book.jobs.end())
+        return {{"job", id}, {"known", false}};
+    const jobs::job_state &owner = found->second;
+    json tasks = json::array();
+    for (const auto &[number, occurrence] : owner.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const bool ready = jobs::isReady(owner, occurrence, step);
+            for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
+                const jobs::task_state &state = occurrence.steps[step].tasks[index];
+                if (state.phase == jobs::task_phase::done)
+                    continue;
+                const bool waiting = state.phase == jobs::task_phase::waiting;
+                const char *earlier = ready ? "room" : "earlier steps";
+                tasks.push_back({{"task", jobs::formatTask({id, number, step, index})},
+                                 {"waitsFor", waiting ? earlier : "its end"},
+                                 {"run", state.run},
+                                 {"failures", state.failures},
+                                 {"worker", state.worker}});
+            }
+        }
+    }
+    return {{"job", id},
+            {"known", true},
+            {"queue", owner.spec.queue},
+            {"status", jobs::statusName(owner.status)},
+            {"acceptedAtMs", owner.spec.acceptedAtMs},
+            {"openTasks", std::move(tasks)}};
+}
+
+} // namespace almond::fleet
--- /dev/null
+++ b/src/fleet/owner_election.cpp
@@ -0,0 +1,57 @@
+#include "fleet/owner_election.h"
+
+#include <nlohmann/json.hpp>
+
+namespace almond::fleet {
+
+using kernel::task;
+using nlohmann::json;
+using store::store_status;
+
+void takeOwnerKey(owner_view &view, const std::string &key, const std::string &value, std::int64_t revision)
+{
+    if (key == election_key::owner) {
+        view.address = value;
+        view.ownerRevision = value.empty() ? 0 : revision;
+    } else if (key == election_key::term) {
+        view.term = value.empty() ? 0 : std::stoull(value);
+        view.termRevision = value.empty() ? 0 : revision;
+    }
+}
+
+task<std::optional<won_term>> tryTakeOffice(store::store_api store, std::string address, owner_view view,
+                                            election_rules rules)
+{
+    std::optional<won_term> won;
+    const store::store_reply lease = co_await store.grantLease(rules.lease);
+    if (lease.status != store_status::ok)
+        co_return won;
+    store::conditional_change change;
+    change.expected.push_back({election_key::owner, 0});
+    change.expected.push_back({election_key::term, view.termRevision});
+    change.puts.push_back({election_key::owner, address, lease.value});
+    change.puts.push_back({election_key::term, std::to_string(view.term + 1), ""});
+    const store::store_reply taken = co_await store.commit(change);
+    if (taken.status == store_status::ok) {
+        won = won_term{view.term + 1, taken.revision, lease.value};
+        co_return won;
+    }
+    // Also after a lost answer: ending the lease removes a key that the call may have written.
+    co_await store.revokeLease(lease.value);
+    co_return won;
+}
+
+task<renewal> renewOffice(store::store_api store, won_term term)
+{
+    const store::store_reply reply = co_await store.keepAlive(term.lease);
+    if (reply.status == store_status::ok)
+        co_return renewal::held;
+    co_return reply.status == store_status::absent ? renewal::lost : renewal::unknown;
+}
+
+task<void> leaveOffice(store::store_api store, won_term term)
+{
+    co_await store.revokeLease(term.lease);
+}
+
+} // namespace almond::fleet
--- /dev/null
+++ b/src/fleet/owner_election.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "store/store_api.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace almond::fleet {
+
+using kernel::milliseconds;
+using kernel::time_point;
+
+//! Keys of the election in the store.
+namespace election_key {
+inline constexpr const char *prefix = "almond/owner/";
+//! Who owns the jobs; goes with its lease.
+inline constexpr const char *owner = "almond/owner/present";
+//! Number of the newest term; never goes.
+inline constexpr const char *term = "almond/owner/term";
+} // namespace election_key
+
+struct election_rules
+{
+    //! Life of an owner's lease. A dead owner is replaced this long after its last renewal.
+    milliseconds lease{2000};
+    //! Time between renewals; several must fit into a lease.
+    milliseconds renewInterval{400};
+    //! Candidates wait up to this long, drawn at random, so that few of them collide.
+    milliseconds candidateJitter{120};
+    //! An owner that can't reach the store goes on renewing tasks for at most this long.
+    milliseconds detachedLimit{12'000};
+};
+
+//! What a process knows of the owner.
+struct owner_view
+{
+    //! Peer address of the owner; empty for none.
+    std::string address;
+    std::uint64_t term = 0;
+    std::int64_t ownerRevision = 0;
+    std::int64_t termRevision = 0;
+};
+
+//! A term that this process has won.
+struct won_term
+{
+    std::uint64_t term = 0;
+    //! Revision of the owner's key while this process holds it.
+    std::int64_t ownerRevision = 0;
+    std::string lease;
+};
+
+//! Takes a key of the election into \a view. \a value is empty when the key was removed.
+void takeOwnerKey(owner_view &view, const std::string &key, const std::string &value, std::int64_t revision);
+
+//! Tries to become the owner, once. Empty when another one was faster or the store did not tell.
+kernel::task<std::optional<won_term>> tryTakeOffice(store::store_api store, std::string address,
+                                                    owner_view view, election_rules rules);
+
+//! How a renewal ended.
+enum class renewal { held, lost, unknown };
+
+kernel::task<renewal> renewOffice(store::store_api store, won_term term);
+
+//! Gives the office back at once, so that a candidate needs not wait for the lease.
+kernel::task<void> leaveOffice(store::store_api store, won_term term);
+
+} // namespace almond::fleet
--- /dev/null
+++ b/src/jobs/job_codec.cpp
@@ -0,0 +1,145 @@
+#include "jobs/job_codec.h"
+
+#include <array>
+#include <charconv>
+
+namespace almond::jobs {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::array<std::string_view, 5> statusNames{"queued", "running", "completed", "failed",
+                                                      "cancelled"};
+
+template<typename T>
+void put(json &out, const char *key, const T &value)
+{
+    if (value != T{})
+        out[key] = value;
+}
+
+json encodeStep(const step_spec &step)
+{
+    json out = json::object();
+    put(out, "count", step.count);
+    put(out, "millicores", step.demand.millicores);
+    put(out, "memoryMb", step.demand.memoryMb);
+    put(out, "accelerators", step.demand.accelerators);
+    put(out, "declaredMs", step.declaredDuration.count());
+    if (!step.after.empty())
+        out["after"] = step.after;
+    put(out, "checkpointing", step.checkpointing);
+    put(out, "gang", step.gang);
+    put(out, "sameRack", step.sameRack);
+    put(out, "speculative", step.speculative);
+    put(out, "lasting", step.lasting);
+    put(out, "fills", step.fills);
+    put(out, "requiredLabel", step.requiredLabel);
+    put(out, "dataRack", step.dataRack);
+    put(out, "perWorkerLimit", step.perWorkerLimit);
+    put(out, "image", step.image);
+    put(out, "tailTargetMs", step.tailTarget.count());
+    put(out, "mayBeAway", step.mayBeAway);
+    return out;
+}
+
+step_spec decodeStep(const json &in)
+{
+    step_spec step;
+    step.count = in.value("count", 0U);
+    step.demand = {in.value("millicores", std::int64_t{0}), in.value("memoryMb", std::int64_t{0}),
+                   in.value("accelerators", std::int64_t{0})};
+    step.declaredDuration = milliseconds(in.value("declaredMs", std::int64_t{0}));
+    step.after = in.value("after", std::vector<std::uint32_t>{});
+    step.checkpointing = in.value("checkpointing", false);
+    step.gang = in.value("gang", false);
+    step.sameRack = in.value("sameRack", false);
+    step.speculative = in.value("speculative", false);
+    step.lasting = in.value("lasting", false);
+    step.fills = in.value("fills", false);
+    step.requiredLabel = in.value("requiredLabel", "");
+    step.dataRack = in.value("dataRack", "");
+    step.perWorkerLimit = in.value("perWorkerLimit", 0U);
+    step.image = in.value("image", "");
+    step.tailTarget = milliseconds(in.value("tailTargetMs", std::int64_t{0}));
+    step.mayBeAway = in.value("mayBeAway", 0U);
+    return step;
+}
+
+//! Takes the number before the next dot off \a text.
+bool takeNumber(std::string_view &text, std::uint32_t &number)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end == text.data())
+        return false;
+    text.remove_prefix(static_cast<std::size_t>(end - text.data()));
+    if (!text.empty() && text.front() == '.')
+        text.remove_prefix(1);
+    return true;
+}
+
+} // namespace
+
+json encodeJob(const job &value)
+{
+    json out{{"id", value.id}, {"queue", value.queue}, {"acceptedAtMs", value.acceptedAtMs}};
+    put(out, "payload", value.payload);
+    put(out, "repetitions", value.repetitions);
+    put(out, "firstDueMs", value.firstDueMs);
+    put(out, "intervalMs", value.interval.count());
+    json &steps = out["steps"] = json::array();
+    for (const step_spec &step : value.steps)
+        steps.push_back(encodeStep(step));
+    return out;
+}
+
+job decodeJob(const json &document)
+{
+    job value;
+    value.id = document.at("id");
+    value.queue = document.at("queue");
+    value.payload = document.value("payload", "");
+    value.repetitions = document.value("repetitions", 0U);
+    value.firstDueMs = document.value("firstDueMs", std::int64_t{0});
+    value.interval = milliseconds(document.value("intervalMs", std::int64_t{0}));
+    value.acceptedAtMs = document.value("acceptedAtMs", std::int64_t{0});
+    for (const json &step : document.at("steps"))
+        value.steps.push_back(decodeStep(step));
+    return value;
+}
+
+std::string formatTask(const task_name &name)
+{
+    return name.job + '.' + std::to_string(name.occurrence) + '.' + std::to_string(name.step) + '.'
+        + std::to_string(name.index);
+}
+
+std::optional<task_name> parseTask(std::string_view text)
+{
+    const auto dot = text.find('.');
+    if (dot == std::string_view::npos)
+        return std::nullopt;
+    task_name name;
+    name.job = text.substr(0, dot);
+    text.remove_prefix(dot + 1);
+    const bool whole = takeNumber(text, name.occurrence) && takeNumber(text, name.step)
+        && takeNumber(text, name.index) && text.empty();
+    return whole ? std::optional(name) : std::nullopt;
+}
+
+std::string_view statusName(job_status status)
+{
+    return statusNames.at(static_cast<std::size_t>(status));
+}
+
+std::optional<job_status> statusNamed(std::string_view name)
+{
+    for (std::size_t index = 0; index < statusNames.size(); ++index) {
+        if (statusNames.at(index) == name)
+            return static_cast<job_status>(index);
+    }
+    return std::nullopt;
+}
+
+} // namespace almond::jobs
--- /dev/null
+++ b/src/jobs/planner.cpp
@@ -0,0 +1,269 @@
+#include "jobs/planner.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace almond::jobs {
+
+namespace {
+
+//! Share of their reserved processor time, in percent, that serving tasks are expected to use; the rest is
+//! open to tasks that fill. A lower share crowds the serving tasks.
+constexpr std::int64_t servingUsePercent = 60;
+
+struct ready_step
+{
+    int priority = 0;
+    std::int64_t acceptedAtMs = 0;
+    const job_state *owner = nullptr;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    const queue_rules *queue = nullptr;
+};
+
+std::vector<ready_step> readySteps(const ledger &book, const fleet_config &config)
+{
+    std::vector<ready_step> ready;
+    for (const std::string &id : book.withWaiting) {
+        const job_state &owner = book.jobs.find(id)->second;
+        const auto queue = config.queues.find(owner.spec.queue);
+        if (queue == config.queues.end())
+            continue;
+        for (const auto &[number, occurrence] : owner.occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                if (occurrence.steps[step].waiting > 0 && isReady(owner, occurrence, step))
+                    ready.push_back({queue->second.priority, owner.spec.acceptedAtMs, &owner, number, step,
+                                     &queue->second});
+            }
+        }
+    }
+    std::sort(ready.begin(), ready.end(), [](const ready_step &left, const ready_step &right) {
+        return std::tie(left.priority, left.acceptedAtMs, left.owner->spec.id, left.occurrence, left.step)
+            < std::tie(right.priority, right.acceptedAtMs, right.owner->spec.id, right.occurrence,
+                       right.step);
+    });
+    return ready;
+}
+
+//! A round of planning: candidates shrink as tasks are placed.
+struct round_state
+{
+    const ledger &book;
+    std::vector<candidate> candidates;
+    //! Tasks placed in this round on each candidate, by step.
+    std::map<std::pair<std::string, task_name>, std::uint32_t> placed;
+    std::vector<ledger_record> records;
+};
+
+task_name firstOf(const ready_step &step)
+{
+    return {step.owner->spec.id, step.occurrence, step.step, 0};
+}
+
+std::uint32_t tasksOfStep(const round_state &round, const candidate &worker, const task_name &first)
+{
+    std::uint32_t count = 0;
+    const auto load = round.book.loads.find(worker.incarnation);
+    if (load != round.book.loads.end()) {
+        for (auto run = load->second.runs.lower_bound(first); run != load->second.runs.end(); ++run) {
+            const task_name &name = run->first;
+            if (name.job != first.job || name.occurrence != first.occurrence || name.step != first.step)
+                break;
+            ++count;
+        }
+    }
+    const auto added = round.placed.find({worker.incarnation, first});
+    return count + (added == round.placed.end() ? 0 : added->second);
+}
+
+bool hasRoom(const candidate &worker, const step_spec &spec)
+{
+    if (!spec.fills)
+        return fits(spec.demand, worker.available);
+    resources firm = spec.demand;
+    firm.millicores = 0;
+    const bool hasSpare = worker.spareMillicores >= spec.demand.millicores
+        || (worker.fillMillicores == 0 && worker.spareMillicores * 2 >= spec.demand.millicores);
+    return hasSpare && fits(firm, worker.available);
+}
+
+bool mayRun(const round_state &round, const candidate &worker, const ready_step &step, const step_spec &spec)
+{
+    if (worker.info.service != step.queue->service || !hasRoom(worker, spec))
+        return false;
+    if (!spec.requiredLabel.empty() && !hasLabel(worker.info, spec.requiredLabel))
+        return false;
+    return spec.perWorkerLimit == 0
+        || tasksOfStep(round, worker, firstOf(step)) < spec.perWorkerLimit;
+}
+
+//! Higher is better. Lasting tasks are packed so that large ones still find room; all others spread.
+double preference(const candidate &worker, const step_spec &spec)
+{
+    const bool nearData = spec.dataRack.empty() || hasLabel(worker.info, spec.dataRack);
+    const double locality = nearData ? 0.0 : -1e9;
+    if (spec.fills)
+        return locality + static_cast<double>(worker.spareMillicores);
+    const auto left = static_cast<double>(worker.available.millicores - spec.demand.millicores);
+    return locality + (spec.lasting ? -left : left);
+}
+
+//! Index of the best candidate on \a rack (any when empty) for one task of \a step, or -1.
+std::ptrdiff_t chooseCandidate(const round_state &round, const ready_step &step, std::string_view rack)
+{
+    const step_spec &spec = step.owner->spec.steps[step.step];
+    std::ptrdiff_t best = -1;
+    double bestValue = -std::numeric_limits<double>::infinity();
+    for (std::size_t index = 0; index < round.candidates.size(); ++index) {
+        const candidate &worker = round.candidates[index];
+        if ((!rack.empty() && worker.info.rack != rack) || !mayRun(round, worker, step, spec))
+            continue;
+        const double value = preference(worker, spec);
+        if (value > bestValue) {
+            best = static_cast<std::ptrdiff_t>(index);
+            bestValue = value;
+        }
+    }
+    return best;
+}
+
+void take(candidate &worker, const step_spec &spec)
+{
+    resources firm = spec.demand;
+    if (spec.fills) {
+        worker.spareMillicores -= firm.millicores;
+        worker.fillMillicores += firm.millicores;
+        firm.millicores = 0;
+    } else {
+        worker.spareMillicores -= spec.lasting ? firm.millicores * servingUsePercent / 100 : firm.millicores;
+    }
+    worker.available = worker.available - firm;
+}
+
+void place(round_state &round, const ready_step &step, std::uint32_t index, std::uint32_t run,
+           std::size_t candidateIndex)
+{
+    candidate &worker = round.candidates[candidateIndex];
+    take(worker, step.owner->spec.steps[step.step]);
+    ++round.placed[{worker.incarnation, firstOf(step)}];
+    ledger_record record;
+    record.task = firstOf(step);
+    record.task.index = index;
+    record.run = run;
+    record.worker = worker.incarnation;
+    round.records.push_back(std::move(record));
+}
+
+void placeSingles(round_state &round, const ready_step &step, std::size_t limit)
+{
+    const auto &tasks = step.owner->occurrences.at(step.occurrence).steps[step.step].tasks;
+    for (std::uint32_t index = 0; index < tasks.size() && round.records.size() < limit; ++index) {
+        if (tasks[index].phase != task_phase::waiting)
+            continue;
+        const std::ptrdiff_t chosen = chooseCandidate(round, step, {});
+        if (chosen < 0)
+            return;
+        place(round, step, index, tasks[index].run + 1, static_cast<std::size_t>(chosen));
+    }
+}
+
+bool tryPlaceGang(round_state &round, const ready_step &step, std::string_view rack, std::uint32_t run)
+{
+    round_state trial = round;
+    const auto count = static_cast<std::uint32_t>(
+        step.owner->occurrences.at(step.occurrence).steps[step.step].tasks.size());
+    for (std::uint32_t index = 0; index < count; ++index) {
+        const std::ptrdiff_t chosen = chooseCandidate(trial, step, rack);
+        if (chosen < 0)
+            return false;
+        place(trial, step, index, run, static_cast<std::size_t>(chosen));
+    }
+    round.candidates = std::move(trial.candidates);
+    round.placed = std::move(trial.placed);
+    round.records = std::move(trial.records);
+    return true;
+}
+
+//! All members start in one decision with one run number, on one rack where that is asked for and possible.
+void placeGang(round_state &round, const ready_step &step)
+{
+    const step_state &state = step.owner->occurrences.at(step.occurrence).steps[step.step];
+    if (state.waiting < state.tasks.size())
+        return;
+    std::uint32_t run = 0;
+    for (const task_state &task : state.tasks)
+        run = std::max(run, task.run);
+    if (step.owner->spec.steps[step.step].sameRack) {
+        std::set<std::string> racks;
+        for (const candidate &worker : round.candidates)
+            racks.insert(worker.info.rack);
+        for (const std::string &rack : racks) {
+            if (!rack.empty() && tryPlaceGang(round, step, rack, run + 1))
+                return;
+        }
+    }
+    tryPlaceGang(round, step, {}, run + 1);
+}
+
+std::uint32_t failuresOf(const step_spec &spec, const step_state &state, std::uint32_t index)
+{
+    if (!spec.gang)
+        return state.tasks[index].failures;
+    std::uint32_t failures = 0;
+    for (const task_state &member : state.tasks)
+        failures += member.failures;
+    return failures;
+}
+
+} // namespace
+
+candidate makeCandidate(const worker_info &worker, const worker_load *load)
+{
+    candidate result{incarnationOf(worker), worker, worker.capacity, worker.capacity.millicores, 0};
+    if (!load)
+        return result;
+    result.available = worker.capacity - load->firm;
+    result.fillMillicores = load->fillMillicores;
+    const std::int64_t idle = load->servingMillicores * (100 - servingUsePercent) / 100;
+    result.spareMillicores = result.available.millicores + idle - load->fillMillicores;
+    return result;
+}
+
+std::vector<ledger_record> planStarts(const ledger &book, const fleet_config &config,
+                                      std::vector<candidate> candidates, std::size_t limit)
+{
+    round_state round{book, std::move(candidates), {}, {}};
+    for (const ready_step &step : readySteps(book, config)) {
+        if (round.records.size() >= limit)
+            break;
+        if (step.owner->spec.steps[step.step].gang)
+            placeGang(round, step);
+        else
+            placeSingles(round, step, limit);
+    }
+    return std::move(round.records);
+}
+
+std::vector<std::string> jobsToGiveUp(const ledger &book, const fleet_config &config,
+                                      std::span<const task_name> touched)
+{
+    std::vector<std::string> hopeless;
+    for (const task_name &name : touched) {
+        const auto owner = book.jobs.find(name.job);
+        if (owner == book.jobs.end() || isFinal(owner->second.status))
+            continue;
+        const auto queue = config.queues.find(owner->second.spec.queue);
+        const step_spec &spec = owner->second.spec.steps[name.step];
+        if (queue == config.queues.end() || spec.lasting)
+            continue;
+        const step_state &state = owner->second.occurrences.at(name.occurrence).steps[name.step];
+        if (failuresOf(spec, state, name.index) >= queue->second.attempts)
+            hopeless.push_back(name.job);
+    }
+    std::sort(hopeless.begin(), hopeless.end());
+    hopeless.erase(std::unique(hopeless.begin(), hopeless.end()), hopeless.end());
+    return hopeless;
+}
+
+} // namespace almond::jobs
--- /dev/null
+++ b/src/jobs/planner.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "jobs/fleet_config.h"
+#include "jobs/ledger.h"
+#include "jobs/worker_info.h"
+
+#include <span>
+#include <vector>
+
+namespace almond::jobs {
+
+//! A worker that may be given tasks now, and what is left on it.
+struct candidate
+{
+    std::string incarnation;
+    worker_info info;
+    //! What firm tasks may still take.
+    resources available;
+    //! Processor time that tasks that fill may expect, in thousandths of a core.
+    std::int64_t spareMillicores = 0;
+    std::int64_t fillMillicores = 0;
+};
+
+//! Returns \a worker as a candidate with \a load taken off; \a load is null for an idle one.
+candidate makeCandidate(const worker_info &worker, const worker_load *load);
+
+//! Plans the next starts: by the queues' priority, then by time of acceptance. A step that does not fit is
+//! passed over. Returns records of the kind started, at most about \a limit of them.
+std::vector<ledger_record> planStarts(const ledger &book, const fleet_config &config,
+                                      std::vector<candidate> candidates, std::size_t limit);
+
+//! Jobs of which a task, or a gang, has failed as often as its queue allows, among \a touched.
+std::vector<std::string> jobsToGiveUp(const ledger &book, const fleet_config &config,
+                                      std::span<const task_name> touched);
+
+} // namespace almond::jobs
--- /dev/null
+++ b/src/jobs/worker_session.cpp
@@ -0,0 +1,152 @@
+#include "jobs/worker_session.h"
+
+#include <algorithm>
+#include <set>
+
+namespace almond::jobs {
+
+namespace {
+
+ledger_record endRecord(const task_name &task, std::uint32_t run, run_end end, std::string checkpoint = {})
+{
+    ledger_record record;
+    record.kind = record_kind::ended;
+    record.task = task;
+    record.run = run;
+    record.end = end;
+    record.checkpoint = std::move(checkpoint);
+    return record;
+}
+
+//! The newest checkpoint that a look has shown for a run that is over now.
+std::string lastCheckpoint(const worker_session &session, const task_name &task, std::uint32_t run)
+{
+    for (const running_report &row : session.running) {
+        if (row.task == task && row.run == run)
+            return row.checkpoint;
+    }
+    return {};
+}
+
+//! Whether the worker must show the run if it has it: no order for it was under way when the look was sent.
+bool wasSettled(const worker_session &session, const task_name &task, std::uint32_t run, time_point sentAt)
+{
+    if (session.ordering.contains(task))
+        return false;
+    const auto accepted = session.accepted.find(task);
+    const bool own = accepted != session.accepted.end() && accepted->second.first == run;
+    return !own || accepted->second.second < sentAt;
+}
+
+} // namespace
+
+worker_session openSession(const worker_info &worker, time_point inheritedUntil)
+{
+    worker_session session;
+    session.info = worker;
+    session.incarnation = incarnationOf(worker);
+    session.leaseOver = inheritedUntil;
+    return session;
+}
+
+std::optional<std::int64_t> nextLeaseEnd(const worker_session &session, const session_rules &rules,
+                                         time_point now)
+{
+    if (!session.clock)
+        return std::nullopt;
+    const std::int64_t elapsed = (now - session.clock->at).count();
+    const std::int64_t slowest = elapsed * (100 - rules.clockDriftPercent) / 100;
+    return session.clock->workerMs + slowest + rules.lease.count();
+}
+
+void noteGrant(worker_session &session, std::int64_t leaseEndMs, const session_rules &rules)
+{
+    if (!session.clock)
+        return;
+    const std::int64_t ahead = leaseEndMs - session.clock->workerMs;
+    const milliseconds longest(ahead * 100 / (100 - rules.clockDriftPercent));
+    session.leaseOver = std::max(session.leaseOver, session.clock->at + longest + rules.leaseMargin);
+}
+
+void noteAnswer(worker_session &session, const order_answer &answer, time_point now)
+{
+    if (answer.outcome != order_outcome::accepted && answer.outcome != order_outcome::refused)
+        return;
+    session.answeredAt = now;
+    session.unansweredSince = time_point{};
+    if (answer.workerClockMs)
+        session.clock = clock_reading{*answer.workerClockMs, now};
+}
+
+void noteSilence(worker_session &session, time_point sentAt)
+{
+    if (session.unansweredSince == time_point{} && sentAt >= session.answeredAt)
+        session.unansweredSince = sentAt;
+}
+
+std::vector<ledger_record> takeLook(worker_session &session, const look_answer &answer, const ledger &book,
+                                    time_point sentAt, time_point now)
+{
+    std::vector<ledger_record> records;
+    noteAnswer(session, answer.result, now);
+    if (answer.result.outcome != order_outcome::accepted)
+        return records;
+    if (answer.bornMs != 0 && answer.bornMs != session.info.bornMs) {
+        session.dead = true;
+        return records;
+    }
+    session.fenced = true;
+    std::set<task_name> seen;
+    for (const running_report &row : answer.running) {
+        if (assignedRun(book, session.incarnation, row.task) == row.run)
+            seen.insert(row.task);
+    }
+    for (const ended_report &row : answer.ended) {
+        if (assignedRun(book, session.incarnation, row.task) == row.run && seen.insert(row.task).second)
+            records.push_back(endRecord(row.task, row.run, row.end, row.checkpoint));
+        session.endsRead = std::max(session.endsRead, row.number);
+        session.accepted.erase(row.task);
+    }
+    const auto load = book.loads.find(session.incarnation);
+    if (!answer.moreEnded && load != book.loads.end()) {
+        for (const auto &[task, run] : load->second.runs) {
+            if (!seen.contains(task) && wasSettled(session, task, run, sentAt))
+                records.push_back(endRecord(task, run, run_end::lost, lastCheckpoint(session, task, run)));
+        }
+    }
+    session.running = answer.running;
+    return records;
+}
+
+std::vector<ledger_record> lapsedRuns(const worker_session &session, const ledger &book, time_point now)
+{
+    std::vector<ledger_record> records;
+    const auto load = book.loads.find(session.incarnation);
+    if (load == book.loads.end() || (!session.dead && now < session.leaseOver))
+        return records;
+    for (const auto &[task, run] : load->second.runs)
+        records.push_back(endRecord(task, run, run_end::lost, lastCheckpoint(session, task, run)));
+    return records;
+}
+
+std::vector<unwanted_run> unwantedRuns(const worker_session &session, const ledger &book)
+{
+    std::vector<unwanted_run> unwanted;
+    for (const running_report &row : session.running) {
+        const auto owner = book.jobs.find(row.task.job);
+        const bool open = owner != book.jobs.end() && !isFinal(owner->second.status);
+        if (!open || assignedRun(book, session.incarnation, row.task) != row.run)
+            unwanted.push_back({row.task, row.run});
+    }
+    return unwanted;
+}
+
+bool mayTakeWork(const worker_session &session, const session_rules &rules, time_point now)
+{
+    const bool silent = session.unansweredSince != time_point{}
+        && now - session.unansweredSince > rules.silenceLimit;
+    return session.listed && !session.dead && !session.info.leaving && session.fenced
+        && session.clock.has_value() && !silent;
+}
+
+} // namespace almond::jobs
--- /dev/null
+++ b/src/jobs/worker_session.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "jobs/ledger.h"
+#include "jobs/worker_port.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace almond::jobs {
+
+//! Times that bound what an owner grants to a worker.
+struct session_rules
+{
+    //! How long a renewal keeps a worker's tasks running; must stay under the worker's own limit.
+    kernel::milliseconds lease{5400};
+    //! How much slower than ours a worker's clock may run, in percent.
+    int clockDriftPercent = 2;
+    //! Added before a lease counts as over; covers the way of an answer.
+    kernel::milliseconds leaseMargin{300};
+    //! An owner that was replaced may have gone on renewing for this long without the store.
+    kernel::milliseconds detachedLimit{12'000};
+    //! A worker that has not answered for this long gets no new work.
+    kernel::milliseconds silenceLimit{1200};
+};
+
+//! One reading of a worker's clock.
+struct clock_reading
+{
+    std::int64_t workerMs = 0;
+    time_point at{};
+};
+
+//! What the present owner knows of its dealings with one life of a worker.
+struct worker_session
+{
+    worker_info info;
+    std::string incarnation;
+    //! The host list still names this life.
+    bool listed = true;
+    //! Another life was seen in its place: nothing that ran there runs any more.
+    bool dead = false;
+    //! The worker has answered this owner's term, so that no order of an earlier term counts any more.
+    bool fenced = false;
+    std::optional<clock_reading> clock;
+    //! When the worker's lease is certainly over.
+    time_point leaseOver{};
+    time_point answeredAt{};
+    //! When the oldest order without an answer since the last answer was sent; zero for none.
+    time_point unansweredSince{};
+    //! Highest number of an end that was read.
+    std::uint64_t endsRead = 0;
+    //! Highest number of an end that is durable.
+    std::uint64_t endsDurable = 0;
+    //! Runs that the worker has accepted from this owner, and when.
+    std::map<task_name, std::pair<std::uint32_t, time_point>> accepted;
+    //! Runs whose start order is under way.
+    std::map<task_name, std::uint32_t> ordering;
+    std::vector<running_report> running;
+};
+
+//! Begins the dealings with \a worker. Whatever an earlier owner granted may last until \a inheritedUntil.
+worker_session openSession(const worker_info &worker, time_point inheritedUntil);
+
+//! The end of a new lease on the worker's clock; empty before its clock is known.
+std::optional<std::int64_t> nextLeaseEnd(const worker_session &session, const session_rules &rules,
+                                         time_point now);
+//! Records that a lease until \a leaseEndMs on the worker's clock was sent, answered or not.
+void noteGrant(worker_session &session, std::int64_t leaseEndMs, const session_rules &rules);
+//! Takes the clock and the sign of life from an answer.
+void noteAnswer(worker_session &session, const order_answer &answer, time_point now);
+//! Records that an order sent at \a sentAt had no answer.
+void noteSilence(worker_session &session, time_point sentAt);
+
+//! What a look tells that the ledger does not hold yet: ends, and runs that the worker does not have.
+//! \a sentAt is when the look was sent.
+std::vector<ledger_record> takeLook(worker_session &session, const look_answer &answer, const ledger &book,
+                                    time_point sentAt, time_point now);
+
+//! The runs on \a session that are over because the worker's life or lease is; empty otherwise.
+std::vector<ledger_record> lapsedRuns(const worker_session &session, const ledger &book, time_point now);
+
+//! A run that shall be stopped.
+struct unwanted_run
+{
+    task_name task;
+    std::uint32_t run = 0;
+};
+
+//! The runs at the worker that no open job wants there.
+std::vector<unwanted_run> unwantedRuns(const worker_session &session, const ledger &book);
+
+//! Tells whether the worker may be given new tasks.
+bool mayTakeWork(const worker_session &session, const session_rules &rules, time_point now);
+
+} // namespace almond::jobs
--- a/src/kernel/time.h
+++ b/src/kernel/time.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 #include <functional>
 
 namespace almond::kernel {
@@ -20,6 +21,15 @@
     return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
 }
 
+//! Milliseconds since the host's start, also counting the time that it was suspended. Never set back.
+inline time_point monotonicNow()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    constexpr std::int64_t nanosPerMilli = 1'000'000;
+    return time_point(milliseconds(now.tv_sec * 1000 + now.tv_nsec / nanosPerMilli));
+}
+
 //! Milliseconds since the Unix epoch, for JSON.
 inline std::int64_t toMillis(time_point time)
 {
--- /dev/null
+++ b/src/store/fenced_journal.cpp
@@ -0,0 +1,78 @@
+#include "store/fenced_journal.h"
+
+#include "store/journal_codec.h"
+
+namespace almond::store {
+
+using kernel::task;
+
+namespace {
+
+//! Reads back what stands at the index of \a entry, after an answer that does not tell.
+task<append_result> readBack(const store_api &store, const std::string &key, const journal_entry &entry)
+{
+    append_result result;
+    const store_reply standing = co_await store.get(key);
+    if (standing.status != store_status::ok)
+        co_return result;
+    result.standing = decodeEntry(entry.index, standing.value);
+    const bool own = result.standing->submission == entry.submission;
+    result.status = own ? append_status::committed : append_status::taken;
+    co_return result;
+}
+
+} // namespace
+
+task<append_result> appendFenced(const store_api &store, std::string name, journal_entry entry,
+                                 journal_fence fence, append_limits limits)
+{
+    const std::string key = entryKey(name, entry.index);
+    conditional_change change;
+    change.expected.push_back({fence.ownerKey, fence.ownerRevision});
+    change.expected.push_back({key, 0});
+    change.puts.push_back({key, encodeEntry(entry), ""});
+    append_result result;
+    for (int attempt = 0; attempt < limits.attempts; ++attempt) {
+        const store_reply reply = co_await store.commit(change);
+        if (reply.status == store_status::ok) {
+            result.status = append_status::committed;
+            co_return result;
+        }
+        if (reply.status == store_status::conflict) {
+            result = co_await readBack(store, key, entry);
+            if (result.status != append_status::unsettled)
+                co_return result;
+            // Nothing stands at the index, so it is the fence that does not hold.
+            const store_reply owner = co_await store.get(fence.ownerKey);
+            const bool replaced = owner.status == store_status::absent
+                || (owner.status == store_status::ok && owner.revision != fence.ownerRevision);
+            if (replaced)
+                result.status = append_status::taken;
+            if (replaced)
+                co_return result;
+        }
+        co_await kernel::sleepFor(limits.retryDelay);
+    }
+    co_return result;
+}
+
+task<journal_entries> readFenced(const store_api &store, std::string name, std::uint64_t after)
+{
+    journal_entries result;
+    std::string last = entryKey(name, after);
+    bool more = true;
+    while (more) {
+        const page_reply page = co_await store.page(entryPrefix(name), last);
+        result.status = page.status;
+        if (page.status != store_status::ok)
+            co_return result;
+        for (const stored_item &item : page.items) {
+            result.entries.push_back(decodeEntry(indexOfKey(item.key), item.value));
+            last = item.key;
+        }
+        more = page.more && !page.items.empty();
+    }
+    co_return result;
+}
+
+} // namespace almond::store
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -1,5 +1,7 @@
 #include "store/journal.h"
 
+#include "store/journal_codec.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -34,22 +36,6 @@
     return snapshotPrefix(name) + paddedNumber(index) + "/" + paddedNumber(part);
 }
 
-std::string encode(const journal_entry &entry)
-{
-    return json{{"writer", entry.writer}, {"submission", entry.submission}, {"body", entry.body}}.dump();
-}
-
-journal_entry decode(std::uint64_t index, const std::string &value)
-{
-    const json parsed = json::parse(value);
-    return {index, parsed.at("writer"), parsed.at("submission"), parsed.at("body")};
-}
-
-std::uint64_t indexOfKey(const std::string &key)
-{
-    return std::stoull(key.substr(key.rfind('/') + 1));
-}
-
 struct journal_head
 {
     store_status status = store_status::unavailable;
@@ -92,7 +78,7 @@
     const store_reply reply = co_await store.get(entryKey(name, entry.index));
     if (reply.status != store_status::ok)
         co_return append_result{append_status::unsettled, std::nullopt};
-    journal_entry standing = decode(entry.index, reply.value);
+    journal_entry standing = decodeEntry(entry.index, reply.value);
     if (standing.submission != entry.submission)
         co_return append_result{append_status::taken, std::move(standing)};
     co_return co_await confirmAboveSnapshot(store, name, entry.index);
@@ -148,13 +134,13 @@
 
 std::string entryKey(const std::string &name, std::uint64_t index)
 {
-    return name + "/entry/" + paddedNumber(index);
+    return entryPrefix(name) + paddedNumber(index);
 }
 
 task<append_result> appendEntry(const store_api &store, std::string name, journal_entry entry,
                                 append_limits limits)
 {
-    const std::string encoded = encode(entry);
+    const std::string encoded = encodeEntry(entry);
     append_result result;
     for (int attempt = 0; attempt < limits.attempts; ++attempt) {
         result = co_await tryAppend(store, name, entry, encoded);
@@ -180,7 +166,7 @@
             decodeHead(item.value, head);
             tail.snapshotIndex = head.snapshotIndex;
         } else if (indexOfKey(item.key) == expected) {
-            tail.entries.push_back(decode(expected, item.value));
+            tail.entries.push_back(decodeEntry(expected, item.value));
             ++expected;
         } else if (tail.entries.empty() && tail.snapshotIndex == 0) {
             // Entries are removed only once a snapshot covers them.
--- /dev/null
+++ b/src/store/prefix_follower.cpp
@@ -0,0 +1,100 @@
+#include "store/prefix_follower.h"
+
+#include "observe/log.h"
+
+namespace almond::store {
+
+using kernel::task;
+
+prefix_follower::prefix_follower(store_api store, kernel::clock_source clock, std::string prefix,
+                                 follow_rules rules, follow_events events)
+    : m_store(std::move(store))
+    , m_clock(std::move(clock))
+    , m_prefix(std::move(prefix))
+    , m_rules(rules)
+    , m_events(std::move(events))
+{
+}
+
+task<void> prefix_follower::run()
+{
+    bool answered = true;
+    while (!m_stopping) {
+        const bool listing = !m_listed;
+        const bool ok = listing ? co_await list() : co_await watchOnce();
+        if (ok != answered)
+            observe::log(ok ? observe::log_level::info : observe::log_level::warning,
+                         ok ? "store answers again" : "store does not answer", {{"prefix", m_prefix}});
+        answered = ok;
+        if (!ok)
+            co_await kernel::sleepFor(m_rules.retryPause);
+    }
+}
+
+task<bool> prefix_follower::list()
+{
+    const kernel::time_point begun = m_clock();
+    std::set<std::string> standing;
+    std::int64_t revision = 0;
+    std::string after;
+    bool more = true;
+    while (more) {
+        page_reply page = co_await m_store.page(m_prefix, after);
+        if (page.status != store_status::ok)
+            co_return false;
+        // Changes made while later pages are read come again with the watch.
+        if (revision == 0)
+            revision = page.revision;
+        for (const stored_item &item : page.items) {
+            standing.insert(item.key);
+            m_events.written(item);
+            after = item.key;
+        }
+        more = page.more && !page.items.empty();
+    }
+    forgetMissing(standing);
+    m_revision = revision;
+    m_confirmedAt = begun;
+    m_listed = true;
+    if (m_events.listed)
+        m_events.listed();
+    co_return true;
+}
+
+void prefix_follower::forgetMissing(const std::set<std::string> &standing)
+{
+    for (const std::string &key : m_known) {
+        if (!standing.contains(key))
+            m_events.removed(key);
+    }
+    m_known = standing;
+}
+
+task<bool> prefix_follower::watchOnce()
+{
+    const kernel::time_point begun = m_clock();
+    const watch_reply reply = co_await m_store.watch(m_prefix, m_revision, m_rules.watchTime);
+    if (reply.status == store_status::conflict) {
+        m_listed = false;
+        co_return true;
+    }
+    if (reply.status != store_status::ok)
+        co_return false;
+    m_confirmedAt = begun;
+    m_revision = std::max(m_revision, reply.revision);
+    for (const key_change &change : reply.changes) {
+        if (change.removed) {
+            m_known.erase(change.item.key);
+            m_events.removed(change.item.key);
+        } else {
+            m_known.insert(change.item.key);
+            m_events.written(change.item);
+        }
+    }
+    const bool changed = !reply.changes.empty();
+    if (changed && m_rules.gatherPause.count() > 0)
+        co_await kernel::sleepFor(m_rules.gatherPause);
+    co_return true;
+}
+
+} // namespace almond::store
--- /dev/null
+++ b/src/store/prefix_follower.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "store/store_api.h"
+
+#include <functional>
+#include <set>
+#include <string>
+
+namespace almond::store {
+
+//! Bounds of a prefix_follower.
+struct follow_rules
+{
+    //! How long one watch waits. A connection that has gone silent is noticed at most this much later.
+    kernel::milliseconds watchTime{2000};
+    //! Pause after a call without an answer.
+    kernel::milliseconds retryPause{100};
+    //! Pause after changes, so that those that come together cost one call.
+    kernel::milliseconds gatherPause{0};
+};
+
+//! What a follower tells its user. Changes come in the order of their revisions.
+struct follow_events
+{
+    std::function<void(const stored_item &item)> written;
+    std::function<void(const std::string &key)> removed;
+    //! The whole prefix has been read, at first or again after a gap in the history.
+    std::function<void()> listed;
+};
+
+//! Follows all keys with one prefix: lists them, then watches, and lists again after a gap in the history.
+class prefix_follower
+{
+public:
+    prefix_follower(store_api store, kernel::clock_source clock, std::string prefix, follow_rules rules,
+                    follow_events events);
+
+    //! Follows until stop(). Reports every key that stands as written, then goes on with the changes.
+    kernel::task<void> run();
+    void stop() { m_stopping = true; }
+    bool isListed() const { return m_listed; }
+    //! When the view was last known to be complete; a time of the clock.
+    kernel::time_point confirmedAt() const { return m_confirmedAt; }
+
+private:
+    kernel::task<bool> list();
+    kernel::task<bool> watchOnce();
+    void forgetMissing(const std::set<std::string> &standing);
+
+    store_api m_store;
+    kernel::clock_source m_clock;
+    std::string m_prefix;
+    follow_rules m_rules;
+    follow_events m_events;
+    std::set<std::string> m_known;
+    std::int64_t m_revision = 0;
+    bool m_listed = false;
+    bool m_stopping = false;
+    kernel::time_point m_confirmedAt{};
+};
+
+} // namespace almond::store
--- a/src/store/store_api.h
+++ b/src/store/store_api.h
@@ -16,6 +16,8 @@
     absent,
     //! The condition of a write did not hold; nothing was written.
     conflict,
+    //! The service turned the call away; nothing was done.
+    refused,
     //! No answer. A write may have taken effect or not.
     unavailable
 };
@@ -56,6 +58,57 @@
     std::size_t limit;
 };
 
+//! A key and the revision that it must still have; 0 for a key that must be absent.
+struct key_expectation
+{
+    std::string key;
+    std::int64_t revision = 0;
+};
+
+//! A value to write. The key goes with \a lease unless that is empty.
+struct key_value
+{
+    std::string key;
+    std::string value;
+    std::string lease;
+};
+
+//! A change of several keys that takes effect as a whole or not at all.
+struct conditional_change
+{
+    std::vector<key_expectation> expected;
+    std::vector<key_value> puts;
+    std::vector<std::string> removals;
+};
+
+//! One page of the keys with a prefix. Pages are no snapshot.
+struct page_reply
+{
+    store_status status = store_status::unavailable;
+    std::vector<stored_item> items;
+    bool more = false;
+    //! The store's revision when the page was read.
+    std::int64_t revision = 0;
+};
+
+//! One change of a key; a removed one has no value.
+struct key_change
+{
+    stored_item item;
+    bool removed = false;
+};
+
+//! What has changed under a prefix.
+struct watch_reply
+{
+    //! conflict when the store no longer has this history: list again.
+    store_status status = store_status::unavailable;
+    //! In the order of their revisions.
+    std::vector<key_change> changes;
+    //! Revision to go on from.
+    std::int64_t revision = 0;
+};
+
 //! The platform's key-value service. Each member is one counted call.
 struct store_api
 {
@@ -71,6 +124,13 @@
     std::function<kernel::task<store_reply>(kernel::milliseconds ttl)> grantLease;
     std::function<kernel::task<store_reply>(std::string lease)> keepAlive;
     std::function<kernel::task<store_reply>(std::string lease)> revokeLease;
+    //! Changes several keys under a condition.
+    std::function<kernel::task<store_reply>(conditional_change change)> commit;
+    //! Reads the keys with \a prefix that come after \a after in byte order.
+    std::function<kernel::task<page_reply>(std::string prefix, std::string after)> page;
+    //! Waits up to \a wait for a change under \a prefix later than revision \a after.
+    std::function<kernel::task<watch_reply>(std::string prefix, std::int64_t after, kernel::milliseconds wait)>
+        watch;
 };
 
 //! The range of all keys that begin with \a prefix.
