--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -129,7 +129,7 @@
     observe::log(log_level::info, "no longer the owner", {{"term", m_term.term}, {"reason", reason}});
 }
 
-task<void> job_owner::commitLoop(self_ptr self)
+task<void> job_owner::commitLoop(self_ptr)
 {
     ++m_loops;
     while (!m_over) {
@@ -174,9 +174,13 @@
     const milliseconds configAge = now - m_services.configConfirmedAt();
     if (configAge < m_services.rules.configValidity && !m_book.withWaiting.empty()) {
         for (ledger_record &record :
-             jobs::planStarts(m_book, *config, candidates(now), m_services.rules.startsPerCommit)) {
-            if (jobs::apply(m_book, record))
-                next.records.push_back(std::move(record));
+             jobs::planStarts(m_book, *config, m_interference, candidates(now),
+                              m_services.rules.startsPerCommit)) {
+            if (!jobs::apply(m_book, record))
+                continue;
+            // From here on until its order is settled a worker that does not show the run has not lost it.
+            m_workers.at(record.worker)->session.ordering[record.task] = record.run;
+            next.records.push_back(std::move(record));
         }
     }
     for (const ledger_record &record : next.records)
@@ -198,6 +202,8 @@
         const auto load = m_book.loads.find(incarnation);
         usable.push_back(
             jobs::makeCandidate(session.info, load == m_book.loads.end() ? nullptr : &load->second));
+        usable.back().serving = jobs::servingViews(m_interference.model, m_interference.rules, m_book,
+                                                   session.running);
     }
     return usable;
 }
@@ -245,12 +251,11 @@
         if (record.kind != jobs::record_kind::started)
             continue;
         const driven_ptr worker = m_workers.at(record.worker);
-        worker->session.ordering[record.task] = record.run;
         kernel::spawn(m_context.get_executor(), startTask(shared_from_this(), worker, record));
     }
 }
 
-task<void> job_owner::tickLoop(self_ptr self)
+task<void> job_owner::tickLoop(self_ptr)
 {
     ++m_loops;
     while (!m_over) {
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/owner_election.h"
+#include "jobs/interference.h"
 #include "jobs/planner.h"
 #include "jobs/worker_port.h"
 #include "jobs/worker_session.h"
@@ -76,6 +77,7 @@
     std::uint64_t looks = 0;
     std::uint64_t looksFailed = 0;
     std::uint64_t stops = 0;
+    std::uint64_t paceOrders = 0;
 };
 
 //! Owns every job for one term: keeps the ledger, commits its records, plans, and drives the workers. All
@@ -116,6 +118,7 @@
         jobs::worker_session session;
         kernel::wake_signal signal;
         time_point refusedAt{};
+        jobs::pace_state pace;
         bool driving = false;
     };
     using driven_ptr = std::shared_ptr<driven_worker>;
@@ -145,6 +148,8 @@
     void giveBack(driven_worker &worker, const jobs::ledger_record &record, const std::string &reason);
     void observe(std::vector<jobs::ledger_record> records);
     void stopUnwanted(const driven_ptr &worker);
+    void paceFills(const driven_ptr &worker, time_point now);
+    kernel::task<void> orderPace(self_ptr self, driven_ptr worker, jobs::pace_order order);
     bool needsLook(const driven_worker &worker, time_point now) const;
     milliseconds lookWaitFor(const driven_worker &worker) const;
     jobs::order_target targetOf(const driven_worker &worker) const;
@@ -155,6 +160,7 @@
     won_term m_term;
     time_point m_since{};
     jobs::ledger m_book;
+    jobs::interference_view m_interference;
     std::uint64_t m_index = 0;
     std::uint64_t m_submission = 0;
     std::set<std::string> m_cancelled;
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -80,7 +80,7 @@
     return close ? m_services.rules.closeLookWait : m_services.rules.lookWait;
 }
 
-task<void> job_owner::driveWorker(self_ptr self, driven_ptr worker)
+task<void> job_owner::driveWorker(self_ptr, driven_ptr worker)
 {
     ++m_loops;
     while (!m_over && !worker->session.dead) {
@@ -133,6 +133,7 @@
     const bool first = !worker->session.fenced;
     observe(jobs::takeLook(worker->session, answer, m_book, sentAt, now));
     stopUnwanted(worker);
+    paceFills(worker, now);
     if (first || worker->session.endsRead > worker->session.endsDurable)
         m_commitSignal.wake();
 }
@@ -145,7 +146,41 @@
     }
 }
 
-task<void> job_owner::stopRun(self_ptr self, driven_ptr worker, jobs::task_name name, std::uint32_t run)
+void job_owner::paceFills(const driven_ptr &worker, time_point now)
+{
+    const std::vector<jobs::running_report> &running = worker->session.running;
+    const jobs::interference_rules &rules = m_interference.rules;
+    jobs::learn(m_interference.model, rules, m_book, running);
+    for (const jobs::pace_order &order :
+         jobs::decidePaces(worker->pace, m_interference.model, rules, m_book, running, now)) {
+        observe::log(log_level::info, "pace of a filling task changed",
+                     {{"task", jobs::formatTask(order.task)},
+                      {"worker", worker->session.incarnation},
+                      {"percent", order.percent}});
+        kernel::spawn(m_context.get_executor(), orderPace(shared_from_this(), worker, order));
+    }
+    for (const jobs::pace_order &run : jobs::displacedRuns(worker->pace, rules, m_book, now)) {
+        if (!m_stopping.contains({jobs::formatTask(run.task), run.run}))
+            kernel::spawn(m_context.get_executor(), stopRun(shared_from_this(), worker, run.task, run.run));
+    }
+}
+
+task<void> job_owner::orderPace(self_ptr, driven_ptr worker, jobs::pace_order order)
+{
+    ++m_counters.paceOrders;
+    const order_answer answer
+        = co_await m_services.workers.pace(targetOf(*worker), order.task, order.run, order.percent);
+    jobs::noteAnswer(worker->session, answer, m_services.clock());
+    const bool settled
+        = answer.outcome == order_outcome::accepted || answer.outcome == order_outcome::refused;
+    // The next look decides anew.
+    if (!settled)
+        worker->pace.told.erase({order.task, order.run});
+    if (answer.refusal == order_refusal::fenced)
+        resign("a worker has seen a later term");
+}
+
+task<void> job_owner::stopRun(self_ptr, driven_ptr worker, jobs::task_name name, std::uint32_t run)
 {
     const std::pair<std::string, std::uint32_t> key(jobs::formatTask(name), run);
     if (m_over || !m_stopping.insert(key).second)
--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -50,6 +50,7 @@
 struct round_state
 {
     const ledger &book;
+    const interference_view &interference;
     std::vector<candidate> candidates;
     //! Tasks placed in this round on each candidate, by step.
     std::map<std::pair<std::string, task_name>, std::uint32_t> placed;
@@ -88,12 +89,27 @@
     return hasSpare && fits(firm, worker.available);
 }
 
+//! The least slack that a serving task on \a worker would have beside one more task of \a spec.
+double slackBeside(const round_state &round, const candidate &worker, const step_spec &spec)
+{
+    const interference_rules &rules = round.interference.rules;
+    const double cores = static_cast<double>(spec.demand.millicores) / 1000.0;
+    double least = rules.largestSlack;
+    for (const serving_view &task : worker.serving)
+        least = std::min(least,
+                         task.slack
+                             - cores * slackPerCore(round.interference.model, rules, task.image, spec.image));
+    return least;
+}
+
 bool mayRun(const round_state &round, const candidate &worker, const ready_step &step, const step_spec &spec)
 {
     if (worker.info.service != step.queue->service || !hasRoom(worker, spec))
         return false;
     if (!spec.requiredLabel.empty() && !hasLabel(worker.info, spec.requiredLabel))
         return false;
+    if (spec.fills && slackBeside(round, worker, spec) < round.interference.rules.placementSlack)
+        return false;
     return spec.perWorkerLimit == 0
         || tasksOfStep(round, worker, firstOf(step)) < spec.perWorkerLimit;
 }
@@ -128,8 +144,13 @@
     return best;
 }
 
-void take(candidate &worker, const step_spec &spec)
+void take(const interference_view &interference, candidate &worker, const step_spec &spec)
 {
+    const double cores = static_cast<double>(spec.demand.millicores) / 1000.0;
+    for (serving_view &task : worker.serving) {
+        if (spec.fills)
+            task.slack -= cores * slackPerCore(interference.model, interference.rules, task.image, spec.image);
+    }
     resources firm = spec.demand;
     if (spec.fills) {
         worker.spareMillicores -= firm.millicores;
@@ -145,7 +166,7 @@
            std::size_t candidateIndex)
 {
     candidate &worker = round.candidates[candidateIndex];
-    take(worker, step.owner->spec.steps[step.step]);
+    take(round.interference, worker, step.owner->spec.steps[step.step]);
     ++round.placed[{worker.incarnation, firstOf(step)}];
     ledger_record record;
     record.task = firstOf(step);
@@ -220,7 +241,7 @@
 
 candidate makeCandidate(const worker_info &worker, const worker_load *load)
 {
-    candidate result{incarnationOf(worker), worker, worker.capacity, worker.capacity.millicores, 0};
+    candidate result{incarnationOf(worker), worker, worker.capacity, worker.capacity.millicores, 0, {}};
     if (!load)
         return result;
     result.available = worker.capacity - load->firm;
@@ -231,9 +252,10 @@
 }
 
 std::vector<ledger_record> planStarts(const ledger &book, const fleet_config &config,
+                                      const interference_view &interference,
                                       std::vector<candidate> candidates, std::size_t limit)
 {
-    round_state round{book, std::move(candidates), {}, {}};
+    round_state round{book, interference, std::move(candidates), {}, {}};
     for (const ready_step &step : readySteps(book, config)) {
         if (round.records.size() >= limit)
             break;
--- a/src/jobs/planner.h
+++ b/src/jobs/planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/fleet_config.h"
+#include "jobs/interference.h"
 #include "jobs/ledger.h"
 #include "jobs/worker_info.h"
 
@@ -19,6 +20,15 @@
     //! Processor time that tasks that fill may expect, in thousandths of a core.
     std::int64_t spareMillicores = 0;
     std::int64_t fillMillicores = 0;
+    //! Tasks that serve there.
+    std::vector<serving_view> serving;
+};
+
+//! What is known of how tasks disturb one another.
+struct interference_view
+{
+    interference_model model;
+    interference_rules rules;
 };
 
 //! Returns \a worker as a candidate with \a load taken off; \a load is null for an idle one.
@@ -27,6 +37,7 @@
 //! Plans the next starts: by the queues' priority, then by time of acceptance. A step that does not fit is
 //! passed over. Returns records of the kind started, at most about \a limit of them.
 std::vector<ledger_record> planStarts(const ledger &book, const fleet_config &config,
+                                      const interference_view &interference,
                                       std::vector<candidate> candidates, std::size_t limit);
 
 //! Jobs of which a task, or a gang, has failed as often as its queue allows, among \a touched.
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -105,7 +105,10 @@
         if (assignedRun(book, session.incarnation, row.task) == row.run && seen.insert(row.task).second)
             records.push_back(endRecord(row.task, row.run, row.end, row.checkpoint));
         session.endsRead = std::max(session.endsRead, row.number);
-        session.accepted.erase(row.task);
+        // An earlier run's end may be listed again beside the run that followed it.
+        const auto accepted = session.accepted.find(row.task);
+        if (accepted != session.accepted.end() && accepted->second.first == row.run)
+            session.accepted.erase(accepted);
     }
     const auto load = book.loads.find(session.incarnation);
     if (!answer.moreEnded && load != book.loads.end()) {
@@ -124,8 +127,11 @@
     const auto load = book.loads.find(session.incarnation);
     if (load == book.loads.end() || (!session.dead && now < session.leaseOver))
         return records;
-    for (const auto &[task, run] : load->second.runs)
-        records.push_back(endRecord(task, run, run_end::lost, lastCheckpoint(session, task, run)));
+    for (const auto &[task, run] : load->second.runs) {
+        // The lease of a run whose order has not been sent yet is still to come.
+        if (session.dead || !session.ordering.contains(task))
+            records.push_back(endRecord(task, run, run_end::lost, lastCheckpoint(session, task, run)));
+    }
     return records;
 }
 
