Fit the interference of image pairs by least squares

Ruled out: a fit by the tail or its logarithm (lower share of the variance explained). Conclusion: the fit stays; slowing at the first sign and moving slowed tasks still costs much.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -277,6 +277,10 @@
         }
         if (!m_book.withWaiting.empty() || !m_book.timers.empty())
             m_commitSignal.wake();
+        if (now - m_modelRefreshedAt > m_services.rules.modelInterval) {
+            jobs::refreshModel(m_interference.model, m_interference.rules.learning);
+            m_modelRefreshedAt = now;
+        }
         co_await kernel::sleepFor(m_services.rules.tickInterval);
     }
     --m_loops;
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -50,6 +50,8 @@
     //! A reading of a worker's clock older than this is renewed.
     milliseconds clockValidity{15'000};
     std::size_t startsPerCommit = 400;
+    //! Time between two refreshes of what is learned of interference.
+    milliseconds modelInterval{500};
     jobs::session_rules sessions;
 };
 
@@ -161,6 +163,7 @@
     time_point m_since{};
     jobs::ledger m_book;
     jobs::interference_view m_interference;
+    time_point m_modelRefreshedAt{};
     std::uint64_t m_index = 0;
     std::uint64_t m_submission = 0;
     std::set<std::string> m_cancelled;
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -150,9 +150,10 @@
 {
     const std::vector<jobs::running_report> &running = worker->session.running;
     const jobs::interference_rules &rules = m_interference.rules;
-    jobs::learn(m_interference.model, rules, m_book, running);
+    const jobs::resources &capacity = worker->session.info.capacity;
+    jobs::learn(m_interference.model, rules, m_book, capacity, running);
     for (const jobs::pace_order &order :
-         jobs::decidePaces(worker->pace, m_interference.model, rules, m_book, running, now)) {
+         jobs::decidePaces(worker->pace, m_interference.model, rules, m_book, capacity, running, now)) {
         observe::log(log_level::info, "pace of a filling task changed",
                      {{"task", jobs::formatTask(order.task)},
                       {"worker", worker->session.incarnation},
--- a/src/jobs/interference.cpp
+++ b/src/jobs/interference.cpp
@@ -6,62 +6,45 @@
 
 namespace {
 
-constexpr double millicoresPerCore = 1000.0;
-
 //! A neighbour that fills.
 struct filling_row
 {
     const running_report *row = nullptr;
     const step_spec *spec = nullptr;
-    double cores = 0.0;
+    //! Cores in use, and cores at full pace, as the model counts them.
+    double used = 0.0;
+    double wanted = 0.0;
+};
+
+//! The serving task that has the least slack.
+struct tightest_task
+{
+    double slack = 0.0;
+    std::string image;
 };
 
-std::vector<filling_row> fillingRows(const ledger &book, std::span<const running_report> running)
+std::vector<filling_row> fillingRows(const ledger &book, const resources &capacity,
+                                     std::span<const running_report> running)
 {
     std::vector<filling_row> rows;
     for (const running_report &row : running) {
         const step_spec *spec = findStep(book, row.task);
         if (spec && spec->fills)
-            rows.push_back({&row, spec, static_cast<double>(row.figure) / millicoresPerCore});
+            rows.push_back({&row, spec, modelCores(row.figure, capacity),
+                            modelCores(spec->demand.millicores, capacity)});
     }
     return rows;
 }
 
-double slackOf(const step_spec &spec, const running_report &row, const interference_rules &rules)
-{
-    const double slack = static_cast<double>(spec.tailTarget.count()) / static_cast<double>(row.figure);
-    return std::min(slack, rules.largestSlack);
-}
-
 bool serves(const step_spec *spec)
 {
     return spec && spec->lasting && spec->tailTarget.count() > 0;
 }
 
-double &freeSlackOf(interference_model &model, const interference_rules &rules, const std::string &image)
-{
-    return model.freeSlack.try_emplace(image, rules.priorFreeSlack).first->second;
-}
-
-void learnOne(interference_model &model, const interference_rules &rules, const std::string &image,
-              double slack, std::span<const filling_row> neighbours)
+double slackOf(const step_spec &spec, const running_report &row, const interference_rules &rules)
 {
-    double &freeSlack = freeSlackOf(model, rules, image);
-    double expected = freeSlack;
-    double scale = 1.0;
-    std::map<std::string, double> cores;
-    for (const filling_row &neighbour : neighbours)
-        cores[neighbour.spec->image] += neighbour.cores;
-    for (const auto &[filling, used] : cores) {
-        expected -= slackPerCore(model, rules, image, filling) * used;
-        scale += used * used;
-    }
-    const double error = slack - expected;
-    freeSlack += rules.learningRate * error / scale;
-    for (const auto &[filling, used] : cores) {
-        double &taken = model.slackPerCore.try_emplace({image, filling}, rules.priorSlackPerCore).first->second;
-        taken = std::max(0.0, taken - rules.learningRate * error * used / scale);
-    }
+    const double slack = static_cast<double>(spec.tailTarget.count()) / static_cast<double>(row.figure);
+    return std::min(slack, rules.largestSlack);
 }
 
 int toldPercent(const pace_state &pace, const running_report &row)
@@ -70,13 +53,6 @@
     return told == pace.told.end() ? 100 : told->second;
 }
 
-//! The serving task that has the least slack.
-struct tightest_task
-{
-    double slack = 0.0;
-    std::string image;
-};
-
 tightest_task findTightest(const ledger &book, const interference_rules &rules,
                            std::span<const running_report> running)
 {
@@ -92,45 +68,71 @@
     return tightest;
 }
 
-void tell(pace_state &pace, const running_report &row, int percent, std::vector<pace_order> &orders)
+//! Changes the paces on one worker towards a slack.
+struct pace_change
 {
-    pace.told[{row.task, row.run}] = percent;
-    orders.push_back({row.task, row.run, percent});
-}
+    pace_state &pace;
+    const interference_model &model;
+    const interference_rules &rules;
+    const tightest_task &tightest;
+    std::vector<pace_order> orders;
 
-//! Slows the neighbours that cost the most, one after the other, until the missing slack is regained.
-void slowDown(pace_state &pace, std::vector<filling_row> neighbours, const interference_model &model,
-              const interference_rules &rules, const tightest_task &tightest,
-              std::vector<pace_order> &orders)
-{
-    const auto cost = [&](const filling_row &neighbour) {
-        return slackPerCore(model, rules, tightest.image, neighbour.spec->image) * neighbour.cores;
-    };
-    std::sort(neighbours.begin(), neighbours.end(),
-              [&](const filling_row &left, const filling_row &right) { return cost(left) > cost(right); });
-    double missing = rules.aimedSlack - tightest.slack;
-    for (const filling_row &neighbour : neighbours) {
-        const int present = toldPercent(pace, *neighbour.row);
-        if (missing <= 0.0)
-            break;
-        if (present == 0)
-            continue;
-        const double taken = cost(neighbour);
-        const double kept = taken > missing ? 1.0 - missing / taken : 0.0;
-        tell(pace, *neighbour.row, static_cast<int>(present * kept), orders);
-        missing -= taken;
+    //! Slack that the neighbour takes from the tightest task at full pace.
+    double fullCost(const filling_row &neighbour) const
+    {
+        const double cores = std::max(neighbour.used, neighbour.wanted / 2);
+        return cores * slackPerCore(model, rules.learning, tightest.image, neighbour.spec->image);
     }
-}
 
-void speedUp(pace_state &pace, std::span<const filling_row> neighbours, std::vector<pace_order> &orders)
-{
-    constexpr int step = 30;
-    for (const filling_row &neighbour : neighbours) {
-        const int present = toldPercent(pace, *neighbour.row);
-        if (present < 100)
-            tell(pace, *neighbour.row, std::min(100, present + step), orders);
+    void tell(const running_report &row, int percent)
+    {
+        if (toldPercent(pace, row) == percent)
+            return;
+        pace.told[{row.task, row.run}] = percent;
+        orders.push_back({row.task, row.run, percent});
     }
-}
+
+    //! Slows the neighbours that cost the most, one after the other, until the missing slack is regained.
+    void slowDown(std::vector<filling_row> neighbours)
+    {
+        std::sort(neighbours.begin(), neighbours.end(),
+                  [this](const filling_row &left, const filling_row &right) {
+                      return fullCost(left) > fullCost(right);
+                  });
+        double missing = rules.aimedSlack - tightest.slack;
+        for (const filling_row &neighbour : neighbours) {
+            const double cost = fullCost(neighbour);
+            if (missing <= 0.0 || cost < rules.negligibleSlack)
+                return;
+            const int present = toldPercent(pace, *neighbour.row);
+            const double taken = cost * present / 100.0;
+            const double kept = taken > missing ? 1.0 - missing / taken : 0.0;
+            tell(*neighbour.row, static_cast<int>(present * kept));
+            missing -= taken;
+        }
+    }
+
+    //! Quickens the neighbours that cost the least first, as far as the slack allows.
+    void speedUp(std::vector<filling_row> neighbours)
+    {
+        std::sort(neighbours.begin(), neighbours.end(),
+                  [this](const filling_row &left, const filling_row &right) {
+                      return fullCost(left) < fullCost(right);
+                  });
+        double free = tightest.slack - rules.aimedSlack;
+        for (const filling_row &neighbour : neighbours) {
+            const int present = toldPercent(pace, *neighbour.row);
+            if (present >= 100)
+                continue;
+            const double cost = std::max(fullCost(neighbour), 1e-6);
+            const int more = static_cast<int>(std::min(100.0, 100.0 * free / cost));
+            if (more <= 0)
+                return;
+            tell(*neighbour.row, std::min(100, present + more));
+            free -= cost * std::min(more, 100 - present) / 100.0;
+        }
+    }
+};
 
 void forgetEnded(pace_state &pace, std::span<const filling_row> present)
 {
@@ -143,11 +145,14 @@
 
 } // namespace
 
-double slackPerCore(const interference_model &model, const interference_rules &rules,
-                    const std::string &serving, const std::string &filling)
+double modelCores(std::int64_t millicores, const resources &capacity)
 {
-    const auto known = model.slackPerCore.find({serving, filling});
-    return known == model.slackPerCore.end() ? rules.priorSlackPerCore : known->second;
+    constexpr double referenceMillicores = 32'000.0;
+    constexpr double millicoresPerCore = 1000.0;
+    const double scale = capacity.millicores > 0
+        ? referenceMillicores / static_cast<double>(capacity.millicores)
+        : 1.0;
+    return static_cast<double>(millicores) / millicoresPerCore * scale;
 }
 
 std::vector<serving_view> servingViews(const interference_model &model, const interference_rules &rules,
@@ -156,49 +161,53 @@
     std::vector<serving_view> views;
     for (const running_report &row : running) {
         const step_spec *spec = findStep(book, row.task);
-        if (!serves(spec))
-            continue;
-        const auto expected = model.freeSlack.find(spec->image);
-        const double fallback = expected == model.freeSlack.end() ? rules.priorFreeSlack : expected->second;
-        views.push_back({spec->image, row.figure > 0 ? slackOf(*spec, row, rules) : fallback});
+        if (serves(spec))
+            views.push_back({spec->image, row.figure > 0 ? slackOf(*spec, row, rules)
+                                                         : freeSlack(model, rules.learning, spec->image)});
     }
     return views;
 }
 
 void learn(interference_model &model, const interference_rules &rules, const ledger &book,
-           std::span<const running_report> running)
+           const resources &capacity, std::span<const running_report> running)
 {
-    const std::vector<filling_row> neighbours = fillingRows(book, running);
+    std::map<std::string, double> cores;
+    for (const filling_row &neighbour : fillingRows(book, capacity, running))
+        cores[neighbour.spec->image] += neighbour.used;
     for (const running_report &row : running) {
         const step_spec *spec = findStep(book, row.task);
-        if (serves(spec) && row.figure > 0)
-            learnOne(model, rules, spec->image, slackOf(*spec, row, rules), neighbours);
+        if (!serves(spec) || row.figure <= 0)
+            continue;
+        const double slack = slackOf(*spec, row, rules);
+        if (slack > rules.smallestSlack)
+            addSample(model, spec->image, slack, cores);
     }
 }
 
 std::vector<pace_order> decidePaces(pace_state &pace, const interference_model &model,
                                     const interference_rules &rules, const ledger &book,
-                                    std::span<const running_report> running, time_point now)
+                                    const resources &capacity, std::span<const running_report> running,
+                                    time_point now)
 {
-    std::vector<pace_order> orders;
-    const std::vector<filling_row> neighbours = fillingRows(book, running);
+    const std::vector<filling_row> neighbours = fillingRows(book, capacity, running);
     forgetEnded(pace, neighbours);
     if (neighbours.empty() || (pace.changedAt != time_point{} && now - pace.changedAt < rules.settle))
-        return orders;
+        return {};
     const tightest_task tightest = findTightest(book, rules, running);
+    pace_change change{pace, model, rules, tightest, {}};
     if (tightest.slack < rules.lowSlack)
-        slowDown(pace, neighbours, model, rules, tightest, orders);
+        change.slowDown(neighbours);
     else if (tightest.slack > rules.calmSlack)
-        speedUp(pace, neighbours, orders);
-    if (!orders.empty())
+        change.speedUp(neighbours);
+    if (!change.orders.empty())
         pace.changedAt = now;
-    for (const pace_order &order : orders) {
+    for (const pace_order &order : change.orders) {
         if (order.percent < rules.displacePercent)
             pace.slowSince.try_emplace({order.task, order.run}, now);
         else
             pace.slowSince.erase({order.task, order.run});
     }
-    return orders;
+    return std::move(change.orders);
 }
 
 std::vector<pace_order> displacedRuns(const pace_state &pace, const interference_rules &rules,
--- a/src/jobs/interference.h
+++ b/src/jobs/interference.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/interference_model.h"
 #include "jobs/ledger.h"
 #include "jobs/worker_port.h"
 
@@ -10,38 +11,28 @@
 
 namespace almond::jobs {
 
-//! How strongly tasks of one image that fill slow tasks of another that serve. A serving task's slack is its
-//! target divided by its tail: under 1 it is too slow. Each core that a neighbour uses takes some slack away.
-struct interference_model
-{
-    //! Slack that one core in use takes, by serving and filling image.
-    std::map<std::pair<std::string, std::string>, double> slackPerCore;
-    //! Slack without neighbours, by serving image, averaged over its load.
-    std::map<std::string, double> freeSlack;
-};
-
 struct interference_rules
 {
-    //! How far one sample moves an estimate; small, since the load of a serving task swings as well.
-    double learningRate = 0.03;
-    //! Prior of the slack that one core takes; low, so that an unknown pair is tried.
-    double priorSlackPerCore = 0.02;
-    double priorFreeSlack = 2.5;
+    learning_rules learning;
     //! Slack beyond this says no more.
     double largestSlack = 6.0;
+    //! Below this slack a tail has hit its ceiling and no longer tells how much is missing.
+    double smallestSlack = 0.12;
     //! Below this slack neighbours are slowed; must stay above 1, the target itself.
-    double lowSlack = 1.15;
-    //! Slack that slowing aims at.
-    double aimedSlack = 1.4;
+    double lowSlack = 1.1;
+    //! Slack that slowing and quickening aim at.
+    double aimedSlack = 1.3;
     //! Above this slack neighbours may go faster.
-    double calmSlack = 1.8;
+    double calmSlack = 1.5;
     //! A task that fills is placed only where this slack is expected to remain.
-    double placementSlack = 1.35;
+    double placementSlack = 1.1;
+    //! A neighbour that takes less slack than this is not worth slowing.
+    double negligibleSlack = 0.03;
     //! Time between two changes at a worker: a change must show in figures that cover half a second.
     milliseconds settle{600};
     //! A run below this pace, in percent, for displaceAfter is stopped, so that it resumes elsewhere.
-    int displacePercent = 25;
-    milliseconds displaceAfter{1500};
+    int displacePercent = 40;
+    milliseconds displaceAfter{800};
 };
 
 //! A serving task on a worker, as it was last seen.
@@ -51,17 +42,16 @@
     double slack = 0.0;
 };
 
-//! Slack that one core of \a filling takes from \a serving.
-double slackPerCore(const interference_model &model, const interference_rules &rules,
-                    const std::string &serving, const std::string &filling);
+//! Cores of a worker with \a capacity as the model counts them.
+double modelCores(std::int64_t millicores, const resources &capacity);
 
 //! The serving tasks among \a running; one without a figure yet gets the model's expectation.
 std::vector<serving_view> servingViews(const interference_model &model, const interference_rules &rules,
                                        const ledger &book, std::span<const running_report> running);
 
-//! Improves the model by the figures of one look at a worker.
+//! Adds the figures of one look at a worker to the model's samples.
 void learn(interference_model &model, const interference_rules &rules, const ledger &book,
-           std::span<const running_report> running);
+           const resources &capacity, std::span<const running_report> running);
 
 //! The paces of the tasks that fill on one worker.
 struct pace_state
@@ -85,7 +75,8 @@
 //! serving task with the least is slowed first. What is returned counts as told.
 std::vector<pace_order> decidePaces(pace_state &pace, const interference_model &model,
                                     const interference_rules &rules, const ledger &book,
-                                    std::span<const running_report> running, time_point now);
+                                    const resources &capacity, std::span<const running_report> running,
+                                    time_point now);
 
 //! Runs that have been slowed for so long that resuming elsewhere from their checkpoint is better.
 std::vector<pace_order> displacedRuns(const pace_state &pace, const interference_rules &rules,
--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -89,16 +89,20 @@
     return hasSpare && fits(firm, worker.available);
 }
 
+//! Slack that one more task of \a spec takes from \a serving on \a worker.
+double slackTaken(const interference_view &interference, const candidate &worker, const serving_view &serving,
+                  const step_spec &spec)
+{
+    return modelCores(spec.demand.millicores, worker.info.capacity)
+        * slackPerCore(interference.model, interference.rules.learning, serving.image, spec.image);
+}
+
 //! The least slack that a serving task on \a worker would have beside one more task of \a spec.
 double slackBeside(const round_state &round, const candidate &worker, const step_spec &spec)
 {
-    const interference_rules &rules = round.interference.rules;
-    const double cores = static_cast<double>(spec.demand.millicores) / 1000.0;
-    double least = rules.largestSlack;
-    for (const serving_view &task : worker.serving)
-        least = std::min(least,
-                         task.slack
-                             - cores * slackPerCore(round.interference.model, rules, task.image, spec.image));
+    double least = round.interference.rules.largestSlack;
+    for (const serving_view &serving : worker.serving)
+        least = std::min(least, serving.slack - slackTaken(round.interference, worker, serving, spec));
     return least;
 }
 
@@ -115,12 +119,14 @@
 }
 
 //! Higher is better. Lasting tasks are packed so that large ones still find room; all others spread.
-double preference(const candidate &worker, const step_spec &spec)
+double preference(const round_state &round, const candidate &worker, const step_spec &spec)
 {
     const bool nearData = spec.dataRack.empty() || hasLabel(worker.info, spec.dataRack);
     const double locality = nearData ? 0.0 : -1e9;
     if (spec.fills)
-        return locality + static_cast<double>(worker.spareMillicores);
+        return locality + slackBeside(round, worker, spec)
+            + static_cast<double>(worker.spareMillicores)
+            / static_cast<double>(std::max<std::int64_t>(worker.info.capacity.millicores, 1));
     const auto left = static_cast<double>(worker.available.millicores - spec.demand.millicores);
     return locality + (spec.lasting ? -left : left);
 }
@@ -135,7 +141,7 @@
         const candidate &worker = round.candidates[index];
         if ((!rack.empty() && worker.info.rack != rack) || !mayRun(round, worker, step, spec))
             continue;
-        const double value = preference(worker, spec);
+        const double value = preference(round, worker, spec);
         if (value > bestValue) {
             best = static_cast<std::ptrdiff_t>(index);
             bestValue = value;
@@ -146,10 +152,9 @@
 
 void take(const interference_view &interference, candidate &worker, const step_spec &spec)
 {
-    const double cores = static_cast<double>(spec.demand.millicores) / 1000.0;
-    for (serving_view &task : worker.serving) {
+    for (serving_view &serving : worker.serving) {
         if (spec.fills)
-            task.slack -= cores * slackPerCore(interference.model, interference.rules, task.image, spec.image);
+            serving.slack -= slackTaken(interference, worker, serving, spec);
     }
     resources firm = spec.demand;
     if (spec.fills) {
