Slow filling tasks only once a serving task has been too slow for 1.5 s

What was seen: a least-squares fit of slack (target/tail) by cores in use shows pairs of two kinds, 0.2 and 0.03 of slack a core; relative to the worker's size it fits better.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -202,12 +202,27 @@
         const auto load = m_book.loads.find(incarnation);
         usable.push_back(
             jobs::makeCandidate(session.info, load == m_book.loads.end() ? nullptr : &load->second));
+        if (load != m_book.loads.end())
+            usable.back().spareMillicores += pacedMillicores(*worker, load->second);
         usable.back().serving = jobs::servingViews(m_interference.model, m_interference.rules, m_book,
                                                    session.running);
     }
     return usable;
 }
 
+//! Processor time that tasks that fill leave unused because they were slowed.
+std::int64_t job_owner::pacedMillicores(const driven_worker &worker, const jobs::worker_load &load) const
+{
+    std::int64_t unused = 0;
+    for (const auto &[run, percent] : worker.pace.told) {
+        const jobs::step_spec *spec = jobs::findStep(m_book, run.first);
+        const auto assigned = load.runs.find(run.first);
+        if (spec && assigned != load.runs.end() && assigned->second == run.second)
+            unused += spec->demand.millicores * (100 - percent) / 100;
+    }
+    return unused;
+}
+
 task<bool> job_owner::appendBatch(const batch &next)
 {
     store::journal_entry entry;
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -144,6 +144,7 @@
     void takeCancel(const std::string &id);
     batch prepareBatch(time_point now);
     std::vector<jobs::candidate> candidates(time_point now) const;
+    std::int64_t pacedMillicores(const driven_worker &worker, const jobs::worker_load &load) const;
     void finishBatch(const batch &next);
     bool takeStartAnswer(driven_worker &worker, const jobs::ledger_record &record,
                          const jobs::order_answer &answer, int attempt, time_point sentAt);
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -160,10 +160,6 @@
                       {"percent", order.percent}});
         kernel::spawn(m_context.get_executor(), orderPace(shared_from_this(), worker, order));
     }
-    for (const jobs::pace_order &run : jobs::displacedRuns(worker->pace, rules, m_book, now)) {
-        if (!m_stopping.contains({jobs::formatTask(run.task), run.run}))
-            kernel::spawn(m_context.get_executor(), stopRun(shared_from_this(), worker, run.task, run.run));
-    }
 }
 
 task<void> job_owner::orderPace(self_ptr, driven_ptr worker, jobs::pace_order order)
--- a/src/jobs/interference.cpp
+++ b/src/jobs/interference.cpp
@@ -49,8 +49,7 @@
 
 int toldPercent(const pace_state &pace, const running_report &row)
 {
-    const auto told = pace.told.find({row.task, row.run});
-    return told == pace.told.end() ? 100 : told->second;
+    return pacePercent(pace, row.task, row.run);
 }
 
 tightest_task findTightest(const ledger &book, const interference_rules &rules,
@@ -140,7 +139,25 @@
     for (const filling_row &neighbour : present)
         standing.emplace(neighbour.row->task, neighbour.row->run);
     std::erase_if(pace.told, [&](const auto &entry) { return !standing.contains(entry.first); });
-    std::erase_if(pace.slowSince, [&](const auto &entry) { return !standing.contains(entry.first); });
+}
+
+//! Keeps account of since when each serving task has been too slow. Returns the longest such time.
+milliseconds updateTooSlow(pace_state &pace, const interference_rules &rules, const ledger &book,
+                           std::span<const running_report> running, time_point now)
+{
+    std::map<task_name, time_point> since;
+    milliseconds longest{0};
+    for (const running_report &row : running) {
+        const step_spec *spec = findStep(book, row.task);
+        if (!serves(spec) || row.figure <= 0 || slackOf(*spec, row, rules) >= rules.lowSlack)
+            continue;
+        const auto known = pace.tooSlowSince.find(row.task);
+        const time_point begun = known == pace.tooSlowSince.end() ? now : known->second;
+        since[row.task] = begun;
+        longest = std::max(longest, now - begun);
+    }
+    pace.tooSlowSince = std::move(since);
+    return longest;
 }
 
 } // namespace
@@ -191,35 +208,24 @@
 {
     const std::vector<filling_row> neighbours = fillingRows(book, capacity, running);
     forgetEnded(pace, neighbours);
+    const milliseconds tooSlow = updateTooSlow(pace, rules, book, running, now);
     if (neighbours.empty() || (pace.changedAt != time_point{} && now - pace.changedAt < rules.settle))
         return {};
     const tightest_task tightest = findTightest(book, rules, running);
     pace_change change{pace, model, rules, tightest, {}};
-    if (tightest.slack < rules.lowSlack)
+    if (tooSlow >= rules.patience)
         change.slowDown(neighbours);
     else if (tightest.slack > rules.calmSlack)
         change.speedUp(neighbours);
     if (!change.orders.empty())
         pace.changedAt = now;
-    for (const pace_order &order : change.orders) {
-        if (order.percent < rules.displacePercent)
-            pace.slowSince.try_emplace({order.task, order.run}, now);
-        else
-            pace.slowSince.erase({order.task, order.run});
-    }
     return std::move(change.orders);
 }
 
-std::vector<pace_order> displacedRuns(const pace_state &pace, const interference_rules &rules,
-                                      const ledger &book, time_point now)
+int pacePercent(const pace_state &pace, const task_name &task, std::uint32_t run)
 {
-    std::vector<pace_order> displaced;
-    for (const auto &[run, since] : pace.slowSince) {
-        const step_spec *spec = findStep(book, run.first);
-        if (spec && spec->checkpointing && now - since > rules.displaceAfter)
-            displaced.push_back({run.first, run.second, 0});
-    }
-    return displaced;
+    const auto told = pace.told.find({task, run});
+    return told == pace.told.end() ? 100 : told->second;
 }
 
 } // namespace almond::jobs
--- a/src/jobs/interference.h
+++ b/src/jobs/interference.h
@@ -18,21 +18,21 @@
     double largestSlack = 6.0;
     //! Below this slack a tail has hit its ceiling and no longer tells how much is missing.
     double smallestSlack = 0.12;
-    //! Below this slack neighbours are slowed; must stay above 1, the target itself.
-    double lowSlack = 1.1;
+    //! Below this slack a serving task counts as too slow; a little above 1, since figures come late.
+    double lowSlack = 1.05;
     //! Slack that slowing and quickening aim at.
-    double aimedSlack = 1.3;
+    double aimedSlack = 1.2;
     //! Above this slack neighbours may go faster.
-    double calmSlack = 1.5;
+    double calmSlack = 1.3;
     //! A task that fills is placed only where this slack is expected to remain.
     double placementSlack = 1.1;
     //! A neighbour that takes less slack than this is not worth slowing.
     double negligibleSlack = 0.03;
     //! Time between two changes at a worker: a change must show in figures that cover half a second.
     milliseconds settle{600};
-    //! A run below this pace, in percent, for displaceAfter is stopped, so that it resumes elsewhere.
-    int displacePercent = 40;
-    milliseconds displaceAfter{800};
+    //! A serving task may be too slow for this long before its neighbours are slowed: most of them end sooner
+    //! by themselves. With the settling time and a late figure it must stay under the harm bound of seconds.
+    milliseconds patience{1500};
 };
 
 //! A serving task on a worker, as it was last seen.
@@ -59,8 +59,8 @@
     time_point changedAt{};
     //! Percent that each run was told last; one that is not in here works at 100.
     std::map<std::pair<task_name, std::uint32_t>, int> told;
-    //! Since when a run has been below the pace at which it is worth moving.
-    std::map<std::pair<task_name, std::uint32_t>, time_point> slowSince;
+    //! Since when a serving task has been too slow.
+    std::map<task_name, time_point> tooSlowSince;
 };
 
 //! One order that changes the pace of a run.
@@ -78,8 +78,7 @@
                                     const resources &capacity, std::span<const running_report> running,
                                     time_point now);
 
-//! Runs that have been slowed for so long that resuming elsewhere from their checkpoint is better.
-std::vector<pace_order> displacedRuns(const pace_state &pace, const interference_rules &rules,
-                                      const ledger &book, time_point now);
+//! Share of its processor time that a run may use at its pace, in percent.
+int pacePercent(const pace_state &pace, const task_name &task, std::uint32_t run);
 
 } // namespace almond::jobs
