--- a/apps/node_main.cpp
+++ b/apps/node_main.cpp
@@ -25,5 +25,11 @@
             node = std::make_unique<daemon::node_daemon>(settings, clients->binding());
             node->start(context);
         },
-        [&] { return node->stop(); });
+        [&] { return node->stop(); },
+        [&] {
+            daemon::node_settings changed;
+            // All findings are printed; the old settings stay in force.
+            if (apps::loadSettings(options, daemon::readNodeSettings, changed) < 0)
+                node->reload(changed);
+        });
 }
--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -250,8 +250,10 @@
     services.unixClock = kernel::systemNow;
     services.config = [this] { return m_config; };
     services.configConfirmedAt = [this] { return m_operatorKeys->confirmedAt(); };
+    services.mayRenew
+        = [this] { return kernel::monotonicNow() - m_renewedAt < m_election.detachedLimit; };
     services.rules.sessions.lease = m_settings.workerLease;
-    services.rules.sessions.detachedLimit = m_election.detachedLimit;
+    services.rules.sessions.detachedRenewals = m_election.detachedLimit - m_election.lease;
     m_owner = std::make_shared<fleet::job_owner>(*m_context, std::move(services), *won);
     m_workerKeys = followWorkers(m_owner);
     kernel::spawn(m_context->get_executor(), enterOffice(m_owner));
@@ -280,12 +282,27 @@
         m_renewedAt = asked;
     if (result == fleet::renewal::lost)
         owner->resign("the lease has lapsed");
-    if (kernel::monotonicNow() - m_renewedAt > m_election.detachedLimit)
-        owner->resign("the store has been out of reach for too long");
     if (!owner->isOver())
         co_await m_electionSignal->wait(m_election.renewInterval);
 }
 
+void node_daemon::reload(const node_settings &settings)
+{
+    observe::setLogLevel(observe::levelNamed(settings.logLevel));
+    const bool sameAddresses = settings.callersAddress == m_settings.callersAddress
+        && settings.readinessAddress == m_settings.readinessAddress
+        && settings.peerAddress == m_settings.peerAddress
+        && settings.operatorAddress == m_settings.operatorAddress
+        && settings.storeAddress == m_settings.storeAddress;
+    const milliseconds lease = settings.workerLease;
+    m_settings.logLevel = settings.logLevel;
+    // The next term of office begins with the new lease.
+    m_settings.workerLease = lease;
+    observe::log(sameAddresses ? log_level::info : log_level::warning,
+                 sameAddresses ? "settings reloaded" : "settings reloaded; new addresses need a restart",
+                 {{"logLevel", settings.logLevel}, {"workerLeaseMs", lease.count()}});
+}
+
 task<void> node_daemon::stop()
 {
     observe::log(log_level::info, "node stopping");
--- a/src/daemon/node_daemon.h
+++ b/src/daemon/node_daemon.h
@@ -44,6 +44,8 @@
     ~node_daemon();
 
     void start(boost::asio::io_context &context);
+    //! Puts the settings in force that can change in a running process, and says which can't.
+    void reload(const node_settings &settings);
     //! Turns the balancer away, hands the office over, answers what is in flight, then returns.
     kernel::task<void> stop();
 
--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -98,7 +98,7 @@
         if (m_workers.contains(incarnation))
             continue;
         auto ghost = std::make_shared<driven_worker>(m_context.get_executor());
-        ghost->session = jobs::openSession({}, m_since + m_services.rules.sessions.lease);
+        ghost->session = jobs::openSession({}, jobs::inheritedLeaseEnd(m_services.rules.sessions, m_since));
         ghost->session.incarnation = incarnation;
         ghost->session.listed = false;
         m_workers[incarnation] = ghost;
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -67,6 +67,8 @@
     kernel::clock_source unixClock;
     std::function<jobs::fleet_config_ptr()> config;
     std::function<time_point()> configConfirmedAt;
+    //! Whether the office was confirmed recently enough to renew the leases of tasks.
+    std::function<bool()> mayRenew;
     owner_rules rules;
 };
 
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -43,8 +43,8 @@
         return;
     }
     auto worker = std::make_shared<driven_worker>(m_context.get_executor());
-    const jobs::session_rules &rules = m_services.rules.sessions;
-    worker->session = jobs::openSession(*info, m_since + rules.detachedLimit + rules.lease);
+    worker->session
+        = jobs::openSession(*info, jobs::inheritedLeaseEnd(m_services.rules.sessions, m_since));
     m_workers[incarnation] = worker;
     if (m_loaded)
         drive(worker);
@@ -108,7 +108,7 @@
     order.acknowledge = worker->session.endsDurable;
     order.wait = lookWaitFor(*worker);
     const bool hasRuns = m_book.loads.contains(worker->session.incarnation);
-    if (hasRuns)
+    if (hasRuns && m_services.mayRenew())
         order.leaseEndMs = jobs::nextLeaseEnd(worker->session, m_services.rules.sessions, sentAt);
     if (order.leaseEndMs)
         jobs::noteGrant(worker->session, *order.leaseEndMs, m_services.rules.sessions);
--- a/src/fleet/owner_election.h
+++ b/src/fleet/owner_election.h
@@ -29,8 +29,9 @@
     milliseconds renewInterval{400};
     //! Candidates wait up to this long, drawn at random, so that few of them collide.
     milliseconds candidateJitter{120};
-    //! An owner that can't reach the store goes on renewing tasks for at most this long.
-    milliseconds detachedLimit{12'000};
+    //! An owner whose lease was not confirmed for this long renews no task any more. With the lease of a
+    //! task it covers an outage of the store; a successor waits it out for workers that it can't reach.
+    milliseconds detachedLimit{3500};
 };
 
 //! What a process knows of the owner.
--- a/src/jobs/interference.cpp
+++ b/src/jobs/interference.cpp
@@ -111,6 +111,12 @@
         }
     }
 
+    void halt(std::span<const filling_row> neighbours)
+    {
+        for (const filling_row &neighbour : neighbours)
+            tell(*neighbour.row, 0);
+    }
+
     //! Quickens the neighbours that cost the least first, as far as the slack allows.
     void speedUp(std::vector<filling_row> neighbours)
     {
@@ -213,7 +219,9 @@
         return {};
     const tightest_task tightest = findTightest(book, rules, running);
     pace_change change{pace, model, rules, tightest, {}};
-    if (tooSlow >= rules.patience)
+    if (tooSlow >= rules.haltAfter)
+        change.halt(neighbours);
+    else if (tooSlow >= rules.patience)
         change.slowDown(neighbours);
     else if (tightest.slack > rules.calmSlack)
         change.speedUp(neighbours);
--- a/src/jobs/interference.h
+++ b/src/jobs/interference.h
@@ -31,8 +31,11 @@
     //! Time between two changes at a worker: a change must show in figures that cover half a second.
     milliseconds settle{600};
     //! A serving task may be too slow for this long before its neighbours are slowed: most of them end sooner
-    //! by themselves. With the settling time and a late figure it must stay under the harm bound of seconds.
-    milliseconds patience{1500};
+    //! by themselves.
+    milliseconds patience{1200};
+    //! After this long all of its neighbours are halted, whatever the model says of them. With the late
+    //! figures it must stay under the users' harm bound of 4 s.
+    milliseconds haltAfter{2000};
 };
 
 //! A serving task on a worker, as it was last seen.
--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -15,6 +15,8 @@
 struct ready_step
 {
     int priority = 0;
+    //! False sorts first.
+    bool ends = true;
     std::int64_t acceptedAtMs = 0;
     const job_state *owner = nullptr;
     std::uint32_t occurrence = 0;
@@ -33,14 +35,15 @@
         for (const auto &[number, occurrence] : owner.occurrences) {
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 if (occurrence.steps[step].waiting > 0 && isReady(owner, occurrence, step))
-                    ready.push_back({queue->second.priority, owner.spec.acceptedAtMs, &owner, number, step,
+                    ready.push_back({queue->second.priority, !owner.spec.steps[step].lasting,
+                                     owner.spec.acceptedAtMs, &owner, number, step,
                                      &queue->second});
             }
         }
     }
     std::sort(ready.begin(), ready.end(), [](const ready_step &left, const ready_step &right) {
-        return std::tie(left.priority, left.acceptedAtMs, left.owner->spec.id, left.occurrence, left.step)
-            < std::tie(right.priority, right.acceptedAtMs, right.owner->spec.id, right.occurrence,
+        return std::tie(left.priority, left.ends, left.acceptedAtMs, left.owner->spec.id, left.occurrence, left.step)
+            < std::tie(right.priority, right.ends, right.acceptedAtMs, right.owner->spec.id, right.occurrence,
                        right.step);
     });
     return ready;
@@ -110,6 +113,8 @@
 {
     if (worker.info.service != step.queue->service || !hasRoom(worker, spec))
         return false;
+    if (worker.reserved && !spec.lasting && !spec.fills)
+        return false;
     if (!spec.requiredLabel.empty() && !hasLabel(worker.info, spec.requiredLabel))
         return false;
     if (spec.fills && slackBeside(round, worker, spec) < round.interference.rules.placementSlack)
@@ -118,7 +123,8 @@
         || tasksOfStep(round, worker, firstOf(step)) < spec.perWorkerLimit;
 }
 
-//! Higher is better. Lasting tasks are packed so that large ones still find room; all others spread.
+//! Higher is better. Firm tasks are packed so that large ones still find room; those that fill go where they
+//! disturb the least.
 double preference(const round_state &round, const candidate &worker, const step_spec &spec)
 {
     const bool nearData = spec.dataRack.empty() || hasLabel(worker.info, spec.dataRack);
@@ -127,8 +133,7 @@
         return locality + slackBeside(round, worker, spec)
             + static_cast<double>(worker.spareMillicores)
             / static_cast<double>(std::max<std::int64_t>(worker.info.capacity.millicores, 1));
-    const auto left = static_cast<double>(worker.available.millicores - spec.demand.millicores);
-    return locality + (spec.lasting ? -left : left);
+    return locality - static_cast<double>(worker.available.millicores - spec.demand.millicores);
 }
 
 //! Index of the best candidate on \a rack (any when empty) for one task of \a step, or -1.
@@ -181,6 +186,27 @@
     round.records.push_back(std::move(record));
 }
 
+//! Keeps new firm batch tasks off the worker on which room for a lasting task is nearest.
+void reserveFor(round_state &round, const ready_step &step)
+{
+    const step_spec &spec = step.owner->spec.steps[step.step];
+    candidate *nearest = nullptr;
+    for (candidate &worker : round.candidates) {
+        const auto load = round.book.loads.find(worker.incarnation);
+        const std::int64_t serving = load == round.book.loads.end() ? 0 : load->second.servingMillicores;
+        const bool couldHold = worker.info.service == step.queue->service
+            && worker.info.capacity.millicores - serving >= spec.demand.millicores
+            && (spec.requiredLabel.empty() || hasLabel(worker.info, spec.requiredLabel))
+            && (spec.perWorkerLimit == 0
+                || tasksOfStep(round, worker, firstOf(step)) < spec.perWorkerLimit);
+        if (couldHold && !worker.reserved
+            && (!nearest || worker.available.millicores > nearest->available.millicores))
+            nearest = &worker;
+    }
+    if (nearest)
+        nearest->reserved = true;
+}
+
 void placeSingles(round_state &round, const ready_step &step, std::size_t limit)
 {
     const auto &tasks = step.owner->occurrences.at(step.occurrence).steps[step.step].tasks;
@@ -188,8 +214,13 @@
         if (tasks[index].phase != task_phase::waiting)
             continue;
         const std::ptrdiff_t chosen = chooseCandidate(round, step, {});
-        if (chosen < 0)
+        const bool lasting = step.owner->spec.steps[step.step].lasting;
+        if (chosen < 0 && lasting)
+            reserveFor(round, step);
+        if (chosen < 0 && !lasting)
             return;
+        if (chosen < 0)
+            continue;
         place(round, step, index, tasks[index].run + 1, static_cast<std::size_t>(chosen));
     }
 }
@@ -246,7 +277,7 @@
 
 candidate makeCandidate(const worker_info &worker, const worker_load *load)
 {
-    candidate result{incarnationOf(worker), worker, worker.capacity, worker.capacity.millicores, 0, {}};
+    candidate result{incarnationOf(worker), worker, worker.capacity, worker.capacity.millicores, 0, {}, false};
     if (!load)
         return result;
     result.available = worker.capacity - load->firm;
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -49,6 +49,12 @@
     return session;
 }
 
+time_point inheritedLeaseEnd(const session_rules &rules, time_point since)
+{
+    const milliseconds longest(rules.lease.count() * 100 / (100 - rules.clockDriftPercent));
+    return since + rules.detachedRenewals + longest + rules.leaseMargin;
+}
+
 std::optional<std::int64_t> nextLeaseEnd(const worker_session &session, const session_rules &rules,
                                          time_point now)
 {
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -18,8 +18,8 @@
     int clockDriftPercent = 2;
     //! Added before a lease counts as over; covers the way of an answer.
     kernel::milliseconds leaseMargin{300};
-    //! An owner that was replaced may have gone on renewing for this long without the store.
-    kernel::milliseconds detachedLimit{12'000};
+    //! An owner that was replaced may have gone on renewing for this long after its lease had lapsed.
+    kernel::milliseconds detachedRenewals{1500};
     //! A worker that has not answered for this long gets no new work.
     kernel::milliseconds silenceLimit{1200};
 };
@@ -62,6 +62,9 @@
 //! Begins the dealings with \a worker. Whatever an earlier owner granted may last until \a inheritedUntil.
 worker_session openSession(const worker_info &worker, time_point inheritedUntil);
 
+//! Until when a worker may run what an earlier owner started, if this one took office at \a since.
+time_point inheritedLeaseEnd(const session_rules &rules, time_point since);
+
 //! The end of a new lease on the worker's clock; empty before its clock is known.
 std::optional<std::int64_t> nextLeaseEnd(const worker_session &session, const session_rules &rules,
                                          time_point now);
--- a/src/kernel/process.cpp
+++ b/src/kernel/process.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 int runProcess(int &argc, char **argv, const std::function<void(asio::io_context &)> &start,
-               const std::function<task<void>()> &stop)
+               const std::function<task<void>()> &stop, const std::function<void()> &reload)
 {
     std::signal(SIGPIPE, SIG_IGN);
     asio::io_context &context = processContext();
@@ -36,6 +36,18 @@
             return;
         asio::co_spawn(context, stop(), [](const std::exception_ptr &) { QCoreApplication::quit(); });
     });
+    asio::signal_set reloads(context, SIGHUP);
+    asio::co_spawn(
+        context,
+        [&]() -> task<void> {
+            boost::system::error_code error;
+            while (!error) {
+                co_await reloads.async_wait(asio::redirect_error(asio::use_awaitable, error));
+                if (!error && reload)
+                    reload();
+            }
+        },
+        asio::detached);
     start(context);
     return QCoreApplication::exec();
 }
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -37,10 +37,15 @@
 {
     processName() = process;
     minimumLevel() = minimum;
-    logging::add_console_log(std::clog, logging::keywords::format = "%Message%",
+    logging::add_console_log(std::cout, logging::keywords::format = "%Message%",
                              logging::keywords::auto_flush = true);
 }
 
+void setLogLevel(log_level minimum)
+{
+    minimumLevel() = minimum;
+}
+
 log_level levelNamed(std::string_view name)
 {
     for (std::size_t index = 0; index < levelNames.size(); ++index) {
--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -10,9 +10,12 @@
 //! Severity of a log line, lowest first.
 enum class log_level { debug, info, warning, error };
 
-//! Sends log lines of at least \a minimum to standard error, one JSON object a line, tagged with \a process.
+//! Sends log lines of at least \a minimum to standard output, one JSON object a line, tagged with \a process.
 void startLog(std::string_view process, log_level minimum);
 
+//! Changes the lowest level that is written.
+void setLogLevel(log_level minimum);
+
 //! Returns the level named \a name; info when there is none of that name.
 log_level levelNamed(std::string_view name);
 
