Give a silent worker no more time, so that its runs end and start elsewhere

Ruled out: room (reserving a worker for a lasting task did not change it), a slow takeover (2 s), the wait for what an earlier owner may have renewed (7 s, over by then). Conclusion: only answered looks count for silence; an unanswered worker gets no more time.

--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -108,7 +108,8 @@
     order.acknowledge = worker->session.endsDurable;
     order.wait = lookWaitFor(*worker);
     const bool hasRuns = m_book.loads.contains(worker->session.incarnation);
-    if (hasRuns && m_services.mayRenew())
+    if (hasRuns && m_services.mayRenew()
+        && !jobs::isSilent(worker->session, m_services.rules.sessions, sentAt))
         order.leaseEndMs = jobs::nextLeaseEnd(worker->session, m_services.rules.sessions, sentAt);
     if (order.leaseEndMs)
         jobs::noteGrant(worker->session, *order.leaseEndMs, m_services.rules.sessions);
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -153,10 +153,14 @@
     return unwanted;
 }
 
+bool isSilent(const worker_session &session, const session_rules &rules, time_point now)
+{
+    return session.unansweredSince != time_point{} && now - session.unansweredSince > rules.silenceLimit;
+}
+
 bool mayTakeWork(const worker_session &session, const session_rules &rules, time_point now)
 {
-    const bool silent = session.unansweredSince != time_point{}
-        && now - session.unansweredSince > rules.silenceLimit;
+    const bool silent = isSilent(session, rules, now);
     return session.listed && !session.dead && !session.info.leaving && session.fenced
         && session.clock.has_value() && !silent;
 }
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -20,7 +20,8 @@
     kernel::milliseconds leaseMargin{300};
     //! An owner that was replaced may have gone on renewing for this long after its lease had lapsed.
     kernel::milliseconds detachedRenewals{1500};
-    //! A worker that has not answered for this long gets no new work.
+    //! A worker that has not answered for this long gets no new work and no more time: else the lease of one
+    //! that is gone would never count as over.
     kernel::milliseconds silenceLimit{1200};
 };
 
@@ -93,6 +94,8 @@
 //! The runs at the worker that no open job wants there.
 std::vector<unwanted_run> unwantedRuns(const worker_session &session, const ledger &book);
 
+//! Tells whether the worker has left orders unanswered for too long.
+bool isSilent(const worker_session &session, const session_rules &rules, time_point now);
 //! Tells whether the worker may be given new tasks.
 bool mayTakeWork(const worker_session &session, const session_rules &rules, time_point now);
 
