--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -123,13 +123,12 @@
     };
     events.listed = [this] { m_electionSignal->wake(); };
     m_ownerKeys = std::make_shared<store::prefix_follower>(m_platform.store, kernel::monotonicNow,
-                                                           fleet::election_key::prefix,
-                                                           store::follow_rules{}, std::move(events));
+                                                           fleet::election_key::prefix, store::follow_rules{},
+                                                           std::move(events));
     kernel::spawn(m_context->get_executor(), runFollower(m_ownerKeys));
 }
 
-std::shared_ptr<store::prefix_follower>
-node_daemon::followWorkers(std::shared_ptr<fleet::job_owner> owner)
+std::shared_ptr<store::prefix_follower> node_daemon::followWorkers(std::shared_ptr<fleet::job_owner> owner)
 {
     const auto idOf = [this](const std::string &key) { return key.substr(m_platform.workersPrefix.size()); };
     store::follow_events events;
@@ -137,13 +136,11 @@
         const std::string id = idOf(item.key);
         owner->takeWorker(id, m_platform.decodeWorker(id, item.value));
     };
-    events.removed
-        = [owner, idOf](const std::string &key) { owner->takeWorker(idOf(key), std::nullopt); };
+    events.removed = [owner, idOf](const std::string &key) { owner->takeWorker(idOf(key), std::nullopt); };
     store::follow_rules rules;
     rules.gatherPause = milliseconds(50);
-    auto follower
-        = std::make_shared<store::prefix_follower>(m_platform.store, kernel::monotonicNow,
-                                                   m_platform.workersPrefix, rules, std::move(events));
+    auto follower = std::make_shared<store::prefix_follower>(
+        m_platform.store, kernel::monotonicNow, m_platform.workersPrefix, rules, std::move(events));
     kernel::spawn(m_context->get_executor(), runFollower(follower));
     return follower;
 }
@@ -164,18 +161,20 @@
 
 void node_daemon::openReadiness()
 {
-    m_readinessServer = std::make_unique<http::server>(*m_context, http::server_limits{}, [this](http::request) {
-        return answerNow(isReady() ? http::makeReply(http::status::ok, "ready\n")
-                                   : http::makeReply(http::status::service_unavailable, "not ready\n"));
-    });
+    m_readinessServer
+        = std::make_unique<http::server>(*m_context, http::server_limits{}, [this](http::request) {
+              return answerNow(isReady() ? http::makeReply(http::status::ok, "ready\n")
+                                         : http::makeReply(http::status::service_unavailable, "not ready\n"));
+          });
     m_readinessServer->listen(m_settings.readinessAddress);
 }
 
 void node_daemon::openOperators()
 {
-    m_operatorServer = std::make_unique<http::server>(
-        *m_context, http::server_limits{},
-        [this](http::request asked) { return answerOperator(std::move(asked)); });
+    m_operatorServer
+        = std::make_unique<http::server>(*m_context, http::server_limits{}, [this](http::request asked) {
+              return answerOperator(std::move(asked));
+          });
     m_operatorServer->listen(m_settings.operatorAddress);
 }
 
@@ -184,8 +183,8 @@
     const std::string_view target(asked.target().data(), asked.target().size());
     const http::target_parts parts = http::splitTarget(target);
     if (parts.path == "/metrics")
-        return answerNow(http::makeReply(http::status::ok,
-                                         prometheus::TextSerializer().Serialize(m_metrics->Collect())));
+        return answerNow(
+            http::makeReply(http::status::ok, prometheus::TextSerializer().Serialize(m_metrics->Collect())));
     if (parts.path == "/dump")
         return answerNow(http::makeJsonReply(http::status::ok, dump()));
     if (parts.path == "/explain" && m_owner)
@@ -228,8 +227,8 @@
 
 task<void> node_daemon::runForOffice()
 {
-    std::uniform_int_distribution<std::int64_t> jitter(0, m_election.candidateJitter.count());
-    co_await kernel::sleepFor(milliseconds(jitter(m_random)));
+    std::uniform_real_distribution<double> draw(0.0, 1.0);
+    co_await kernel::sleepFor(fleet::candidacyDelay(m_election, m_settings.processorShare, draw(m_random)));
     if (m_stopping || !m_ownerView.address.empty())
         co_return;
     const kernel::time_point asked = kernel::monotonicNow();
@@ -250,10 +249,9 @@
     services.unixClock = kernel::systemNow;
     services.config = [this] { return m_config; };
     services.configConfirmedAt = [this] { return m_operatorKeys->confirmedAt(); };
-    services.mayRenew
-        = [this] { return kernel::monotonicNow() - m_renewedAt < m_election.detachedLimit; };
+    services.mayRenew = [this] { return kernel::monotonicNow() - m_renewedAt < m_election.detachedLimit; };
     services.rules.sessions.lease = m_settings.workerLease;
-    services.rules.sessions.detachedRenewals = m_election.detachedLimit - m_election.lease;
+    services.rules.sessions.detachedRenewals = m_election.detachedLimit;
     m_owner = std::make_shared<fleet::job_owner>(*m_context, std::move(services), *won);
     m_workerKeys = followWorkers(m_owner);
     kernel::spawn(m_context->get_executor(), enterOffice(m_owner));
--- a/src/daemon/node_settings.cpp
+++ b/src/daemon/node_settings.cpp
@@ -23,6 +23,7 @@
     value.workerLease = milliseconds(reader.integer("workerLeaseMs", 5400, timeRange));
     value.stopGrace = milliseconds(reader.integer("stopGraceMs", 6000, timeRange));
     value.connections = reader.integer("connections", 3000, integer_range{1, 1'000'000});
+    value.processorShare = reader.share("processorShare", 1.0);
     reader.finish();
     result.described = reader.described();
     return result;
--- a/src/daemon/node_settings.h
+++ b/src/daemon/node_settings.h
@@ -29,6 +29,8 @@
     //! Longest time that the platform waits between the signal to stop and the kill.
     kernel::milliseconds stopGrace{0};
     std::int64_t connections = 0;
+    //! Share of a core that this host has; stronger hosts become the owner first.
+    double processorShare = 1.0;
 };
 
 //! Reads and checks the settings of almond-node.
--- a/src/fleet/caller_service.cpp
+++ b/src/fleet/caller_service.cpp
@@ -133,9 +133,9 @@
         // Without the owner nobody can tell how far the job has come.
         result.outcome = call_outcome::refused;
     }
-    observe::log(log_level::info, "status without the owner",
-                 {{"job", id}, {"ownerAnswered", answer.has_value()},
-                  {"outcome", static_cast<int>(result.outcome)}});
+    observe::log(
+        log_level::info, "status without the owner",
+        {{"job", id}, {"ownerAnswered", answer.has_value()}, {"outcome", static_cast<int>(result.outcome)}});
     co_return result;
 }
 
@@ -147,8 +147,7 @@
         co_return call_outcome::absent;
     if (standing.status != store_status::ok)
         co_return call_outcome::refused;
-    const call_outcome outcome
-        = co_await createKey(job_key::cancelled + id, "{}", end - m_context.clock());
+    const call_outcome outcome = co_await createKey(job_key::cancelled + id, "{}", end - m_context.clock());
     observe::log(log_level::info, "cancel requested", {{"job", id}, {"outcome", static_cast<int>(outcome)}});
     co_return outcome;
 }
@@ -158,7 +157,8 @@
     pending_result result;
     json arguments;
     arguments["queue"] = queue;
-    const auto answer = co_await askOwner(pendingCall, arguments, std::min(m_context.rules.ownerTimeout, patience));
+    const auto answer
+        = co_await askOwner(pendingCall, arguments, std::min(m_context.rules.ownerTimeout, patience));
     result.outcome = answer ? call_outcome::ok : call_outcome::refused;
     if (answer)
         result.count = answer->get<std::size_t>();
--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -173,9 +173,8 @@
     jobs::openDueOccurrences(m_book, m_services.unixClock());
     const milliseconds configAge = now - m_services.configConfirmedAt();
     if (configAge < m_services.rules.configValidity && !m_book.withWaiting.empty()) {
-        for (ledger_record &record :
-             jobs::planStarts(m_book, *config, m_interference, candidates(now),
-                              m_services.rules.startsPerCommit)) {
+        for (ledger_record &record : jobs::planStarts(m_book, *config, m_interference, candidates(now),
+                                                      m_services.rules.startsPerCommit)) {
             if (!jobs::apply(m_book, record))
                 continue;
             // From here on until its order is settled a worker that does not show the run has not lost it.
@@ -195,8 +194,8 @@
     for (const auto &[incarnation, worker] : m_workers) {
         const jobs::worker_session &session = worker->session;
         const bool open = !config->withdrawnDomains.contains(session.info.failureDomain);
-        const bool refusing = worker->refusedAt != time_point{}
-            && now - worker->refusedAt < m_services.rules.refusalPause;
+        const bool refusing
+            = worker->refusedAt != time_point{} && now - worker->refusedAt < m_services.rules.refusalPause;
         if (!open || refusing || !jobs::mayTakeWork(session, m_services.rules.sessions, now))
             continue;
         const auto load = m_book.loads.find(incarnation);
@@ -204,8 +203,8 @@
             jobs::makeCandidate(session.info, load == m_book.loads.end() ? nullptr : &load->second));
         if (load != m_book.loads.end())
             usable.back().spareMillicores += pacedMillicores(*worker, load->second);
-        usable.back().serving = jobs::servingViews(m_interference.model, m_interference.rules, m_book,
-                                                   session.running);
+        usable.back().serving
+            = jobs::servingViews(m_interference.model, m_interference.rules, m_book, session.running);
     }
     return usable;
 }
@@ -228,8 +227,8 @@
     store::journal_entry entry;
     entry.index = m_index + 1;
     entry.writer = m_services.processId;
-    entry.submission = m_services.processId + "/" + std::to_string(m_term.term) + "/"
-        + std::to_string(++m_submission);
+    entry.submission
+        = m_services.processId + "/" + std::to_string(m_term.term) + "/" + std::to_string(++m_submission);
     entry.body = json::array();
     for (const ledger_record &record : next.records)
         entry.body.push_back(jobs::encodeRecord(record));
@@ -277,12 +276,12 @@
         const time_point now = m_services.clock();
         for (auto place = m_workers.begin(); place != m_workers.end();) {
             const driven_ptr &worker = place->second;
-            std::vector<ledger_record> lapsed = jobs::lapsedRuns(worker->session, m_book, now);
+            std::vector<ledger_record> lapsed
+                = jobs::lapsedRuns(worker->session, m_services.rules.sessions, m_book, now);
             if (!lapsed.empty())
-                observe::log(log_level::warning, "worker's runs are over: its lease or life is",
-                             {{"worker", place->first},
-                              {"dead", worker->session.dead},
-                              {"runs", lapsed.size()}});
+                observe::log(
+                    log_level::warning, "worker's runs are over: its lease or life is",
+                    {{"worker", place->first}, {"dead", worker->session.dead}, {"runs", lapsed.size()}});
             observe(std::move(lapsed));
             const bool gone = (worker->session.dead || !worker->session.listed)
                 && !m_book.loads.contains(place->first) && worker->session.ordering.empty();
@@ -332,14 +331,10 @@
 
 json job_owner::dump() const
 {
-    return {{"term", m_term.term},
-            {"journalIndex", m_index},
-            {"jobs", m_book.jobs.size()},
-            {"jobsWithWaitingTasks", m_book.withWaiting.size()},
-            {"workers", m_workers.size()},
-            {"busyWorkers", m_book.loads.size()},
-            {"starts", m_counters.starts},
-            {"looks", m_counters.looks},
+    return {{"term", m_term.term},          {"journalIndex", m_index},
+            {"jobs", m_book.jobs.size()},   {"jobsWithWaitingTasks", m_book.withWaiting.size()},
+            {"workers", m_workers.size()},  {"busyWorkers", m_book.loads.size()},
+            {"starts", m_counters.starts},  {"looks", m_counters.looks},
             {"commits", m_counters.commits}};
 }
 
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -43,8 +43,7 @@
         return;
     }
     auto worker = std::make_shared<driven_worker>(m_context.get_executor());
-    worker->session
-        = jobs::openSession(*info, jobs::inheritedLeaseEnd(m_services.rules.sessions, m_since));
+    worker->session = jobs::openSession(*info, jobs::inheritedLeaseEnd(m_services.rules.sessions, m_since));
     m_workers[incarnation] = worker;
     if (m_loaded)
         drive(worker);
--- a/src/fleet/owner_election.cpp
+++ b/src/fleet/owner_election.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace almond::fleet {
 
 using kernel::task;
@@ -19,6 +22,15 @@
     }
 }
 
+milliseconds candidacyDelay(const election_rules &rules, double processorShare, double drawn)
+{
+    constexpr double weakest = 0.05;
+    const double halvings = std::max(0.0, -std::log2(std::max(processorShare, weakest)));
+    const double delay = drawn * static_cast<double>(rules.candidateJitter.count())
+        + halvings * static_cast<double>(rules.weaknessDelay.count());
+    return milliseconds(static_cast<std::int64_t>(delay));
+}
+
 task<std::optional<won_term>> tryTakeOffice(store::store_api store, std::string address, owner_view view,
                                             election_rules rules)
 {
--- a/src/fleet/owner_election.h
+++ b/src/fleet/owner_election.h
@@ -29,6 +29,9 @@
     milliseconds renewInterval{400};
     //! Candidates wait up to this long, drawn at random, so that few of them collide.
     milliseconds candidateJitter{120};
+    //! A weak host waits this much longer for each time that it has half the processor of a whole core, so
+    //! that a stronger one comes first.
+    milliseconds weaknessDelay{60};
     //! An owner whose lease was not confirmed for this long renews no task any more. With the lease of a
     //! task it covers an outage of the store; a successor waits it out for workers that it can't reach.
     milliseconds detachedLimit{3500};
@@ -56,6 +59,9 @@
 //! Takes a key of the election into \a view. \a value is empty when the key was removed.
 void takeOwnerKey(owner_view &view, const std::string &key, const std::string &value, std::int64_t revision);
 
+//! How long a candidate with \a processorShare of a core waits; \a drawn is from 0 to 1.
+milliseconds candidacyDelay(const election_rules &rules, double processorShare, double drawn);
+
 //! Tries to become the owner, once. Empty when another one was faster or the store did not tell.
 kernel::task<std::optional<won_term>> tryTakeOffice(store::store_api store, std::string address,
                                                     owner_view view, election_rules rules);
--- a/src/jobs/interference.cpp
+++ b/src/jobs/interference.cpp
@@ -172,9 +172,8 @@
 {
     constexpr double referenceMillicores = 32'000.0;
     constexpr double millicoresPerCore = 1000.0;
-    const double scale = capacity.millicores > 0
-        ? referenceMillicores / static_cast<double>(capacity.millicores)
-        : 1.0;
+    const double scale
+        = capacity.millicores > 0 ? referenceMillicores / static_cast<double>(capacity.millicores) : 1.0;
     return static_cast<double>(millicores) / millicoresPerCore * scale;
 }
 
@@ -185,8 +184,9 @@
     for (const running_report &row : running) {
         const step_spec *spec = findStep(book, row.task);
         if (serves(spec))
-            views.push_back({spec->image, row.figure > 0 ? slackOf(*spec, row, rules)
-                                                         : freeSlack(model, rules.learning, spec->image)});
+            views.push_back({spec->image,
+                             row.figure > 0 ? slackOf(*spec, row, rules)
+                                            : freeSlack(model, rules.learning, spec->image)});
     }
     return views;
 }
--- a/src/jobs/interference_model.cpp
+++ b/src/jobs/interference_model.cpp
@@ -48,8 +48,7 @@
             const auto product = fit.products.find({names[row], names[column]});
             rows[row][column] = product == fit.products.end() ? 0.0 : product->second;
         }
-        const double prior
-            = names[row] == constantName ? rules.priorFreeSlack : -rules.priorSlackPerCore;
+        const double prior = names[row] == constantName ? rules.priorFreeSlack : -rules.priorSlackPerCore;
         rows[row][row] += rules.priorWeight;
         rows[row][names.size()] = fit.targets.at(names[row]) + rules.priorWeight * prior;
     }
--- a/src/jobs/interference_model.h
+++ b/src/jobs/interference_model.h
@@ -20,7 +20,8 @@
     double retention = 0.985;
 };
 
-//! Sums of a least-squares fit for one image that serves: its slack by the cores that each image beside it uses.
+//! Sums of a least-squares fit for one image that serves: its slack by the cores that each image beside it
+//! uses.
 struct image_fit
 {
     //! By pairs of filling images; the empty name stands for the constant.
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -132,8 +132,7 @@
         return;
     if (++place.occurrence->stepsDone < place.occurrence->steps.size())
         return;
-    if (++place.owner->occurrencesDone == occurrenceCount(place.owner->spec)
-        && !isFinal(place.owner->status))
+    if (++place.owner->occurrencesDone == occurrenceCount(place.owner->spec) && !isFinal(place.owner->status))
         place.owner->status = job_status::completed;
 }
 
@@ -202,8 +201,7 @@
 
 bool isFinal(job_status status)
 {
-    return status == job_status::completed || status == job_status::failed
-        || status == job_status::cancelled;
+    return status == job_status::completed || status == job_status::failed || status == job_status::cancelled;
 }
 
 void addJob(ledger &book, job accepted)
@@ -284,8 +282,8 @@
     case record_kind::started:
         return json::array({"started", formatTask(record.task), record.run, record.worker});
     case record_kind::ended:
-        return json::array({"ended", formatTask(record.task), record.run, static_cast<int>(record.end),
-                            record.checkpoint});
+        return json::array(
+            {"ended", formatTask(record.task), record.run, static_cast<int>(record.end), record.checkpoint});
     case record_kind::gaveUp:
         break;
     }
--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -36,13 +36,13 @@
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 if (occurrence.steps[step].waiting > 0 && isReady(owner, occurrence, step))
                     ready.push_back({queue->second.priority, !owner.spec.steps[step].lasting,
-                                     owner.spec.acceptedAtMs, &owner, number, step,
-                                     &queue->second});
+                                     owner.spec.acceptedAtMs, &owner, number, step, &queue->second});
             }
         }
     }
     std::sort(ready.begin(), ready.end(), [](const ready_step &left, const ready_step &right) {
-        return std::tie(left.priority, left.ends, left.acceptedAtMs, left.owner->spec.id, left.occurrence, left.step)
+        return std::tie(left.priority, left.ends, left.acceptedAtMs, left.owner->spec.id, left.occurrence,
+                        left.step)
             < std::tie(right.priority, right.ends, right.acceptedAtMs, right.owner->spec.id, right.occurrence,
                        right.step);
     });
@@ -119,8 +119,7 @@
         return false;
     if (spec.fills && slackBeside(round, worker, spec) < round.interference.rules.placementSlack)
         return false;
-    return spec.perWorkerLimit == 0
-        || tasksOfStep(round, worker, firstOf(step)) < spec.perWorkerLimit;
+    return spec.perWorkerLimit == 0 || tasksOfStep(round, worker, firstOf(step)) < spec.perWorkerLimit;
 }
 
 //! Higher is better. Firm tasks are packed so that large ones still find room; those that fill go where they
@@ -197,8 +196,7 @@
         const bool couldHold = worker.info.service == step.queue->service
             && worker.info.capacity.millicores - serving >= spec.demand.millicores
             && (spec.requiredLabel.empty() || hasLabel(worker.info, spec.requiredLabel))
-            && (spec.perWorkerLimit == 0
-                || tasksOfStep(round, worker, firstOf(step)) < spec.perWorkerLimit);
+            && (spec.perWorkerLimit == 0 || tasksOfStep(round, worker, firstOf(step)) < spec.perWorkerLimit);
         if (couldHold && !worker.reserved
             && (!nearest || worker.available.millicores > nearest->available.millicores))
             nearest = &worker;
@@ -277,7 +275,8 @@
 
 candidate makeCandidate(const worker_info &worker, const worker_load *load)
 {
-    candidate result{incarnationOf(worker), worker, worker.capacity, worker.capacity.millicores, 0, {}, false};
+    candidate result{
+        incarnationOf(worker), worker, worker.capacity, worker.capacity.millicores, 0, {}, false};
     if (!load)
         return result;
     result.available = worker.capacity - load->firm;
--- a/src/jobs/planner.h
+++ b/src/jobs/planner.h
@@ -36,8 +36,9 @@
 //! Returns \a worker as a candidate with \a load taken off; \a load is null for an idle one.
 candidate makeCandidate(const worker_info &worker, const worker_load *load);
 
-//! Plans the next starts: by the queues' priority, lasting tasks first, then by time of acceptance. A step that
-//! does not fit is passed over; for a lasting one a worker is kept free of new batch tasks. Returns records of the kind started, at most about \a limit of them.
+//! Plans the next starts: by the queues' priority, lasting tasks first, then by time of acceptance. A step
+//! that does not fit is passed over; for a lasting one a worker is kept free of new batch tasks. Returns
+//! records of the kind started, at most about \a limit of them.
 std::vector<ledger_record> planStarts(const ledger &book, const fleet_config &config,
                                       const interference_view &interference,
                                       std::vector<candidate> candidates, std::size_t limit);
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -127,11 +127,15 @@
     return records;
 }
 
-std::vector<ledger_record> lapsedRuns(const worker_session &session, const ledger &book, time_point now)
+std::vector<ledger_record> lapsedRuns(const worker_session &session, const session_rules &rules,
+                                      const ledger &book, time_point now)
 {
     std::vector<ledger_record> records;
     const auto load = book.loads.find(session.incarnation);
-    if (load == book.loads.end() || (!session.dead && now < session.leaseOver))
+    // Without an address it can't be asked.
+    const bool unreachable = session.info.address.empty() || isSilent(session, rules, now);
+    const bool over = session.dead || (unreachable && now >= session.leaseOver);
+    if (load == book.loads.end() || !over)
         return records;
     for (const auto &[task, run] : load->second.runs) {
         // The lease of a run whose order has not been sent yet is still to come.
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -18,8 +18,9 @@
     int clockDriftPercent = 2;
     //! Added before a lease counts as over; covers the way of an answer.
     kernel::milliseconds leaseMargin{300};
-    //! An owner that was replaced may have gone on renewing for this long after its lease had lapsed.
-    kernel::milliseconds detachedRenewals{1500};
+    //! An owner that was replaced may have gone on renewing for this long after its key had gone: the key can
+    //! go before the lease does.
+    kernel::milliseconds detachedRenewals{3500};
     //! A worker that has not answered for this long gets no new work and no more time: else the lease of one
     //! that is gone would never count as over.
     kernel::milliseconds silenceLimit{1200};
@@ -81,8 +82,10 @@
 std::vector<ledger_record> takeLook(worker_session &session, const look_answer &answer, const ledger &book,
                                     time_point sentAt, time_point now);
 
-//! The runs on \a session that are over because the worker's life or lease is; empty otherwise.
-std::vector<ledger_record> lapsedRuns(const worker_session &session, const ledger &book, time_point now);
+//! The runs on \a session that are over because the worker's life or lease is; empty otherwise. The lease of
+//! a worker that answers is not judged by the clock: a look tells what it runs.
+std::vector<ledger_record> lapsedRuns(const worker_session &session, const session_rules &rules,
+                                      const ledger &book, time_point now);
 
 //! A run that shall be stopped.
 struct unwanted_run
--- a/src/settings/object_reader.cpp
+++ b/src/settings/object_reader.cpp
@@ -108,6 +108,19 @@
     return result;
 }
 
+double object_reader::share(std::string_view key, double fallback)
+{
+    m_described.push_back({pathOf(key), json(fallback).dump(), "above 0, at most 1"});
+    const json *value = member(key);
+    if (!value)
+        return fallback;
+    const double number = value->is_number() ? value->get<double>() : 0.0;
+    if (number > 0.0 && number <= 1.0)
+        return number;
+    report(key, "must be a number above 0 and at most 1");
+    return fallback;
+}
+
 std::int64_t object_reader::checkedInteger(std::string_view key, const json &value, std::int64_t fallback,
                                            integer_range range)
 {
--- a/src/settings/object_reader.h
+++ b/src/settings/object_reader.h
@@ -47,6 +47,8 @@
     std::vector<std::string> addresses(std::string_view key);
     std::int64_t requiredInteger(std::string_view key, integer_range range);
     std::int64_t integer(std::string_view key, std::int64_t fallback, integer_range range);
+    //! Returns the number \a key, which must be above 0 and at most 1.
+    double share(std::string_view key, double fallback);
     bool boolean(std::string_view key, bool fallback);
     //! Returns the object \a key, or an empty one.
     const json &object(std::string_view key);
--- a/src/store/store_api.h
+++ b/src/store/store_api.h
@@ -129,7 +129,8 @@
     //! Reads the keys with \a prefix that come after \a after in byte order.
     std::function<kernel::task<page_reply>(std::string prefix, std::string after)> page;
     //! Waits up to \a wait for a change under \a prefix later than revision \a after.
-    std::function<kernel::task<watch_reply>(std::string prefix, std::int64_t after, kernel::milliseconds wait)>
+    std::function<kernel::task<watch_reply>(std::string prefix, std::int64_t after,
+                                            kernel::milliseconds wait)>
         watch;
 };
 
--- /dev/null
+++ b/tests/fakes/fake_fleet.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include "jobs/job_codec.h"
+#include "jobs/worker_port.h"
+#include "kernel/task.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace almond::fakes {
+
+//! Workers in memory, behind the port through which an owner orders them. A test ends runs and sees all
+//! starts.
+class fake_fleet
+{
+public:
+    struct run_state
+    {
+        std::uint32_t run = 0;
+        bool ended = false;
+    };
+    struct worker_state
+    {
+        std::uint64_t term = 0;
+        std::map<std::string, run_state> runs; // by task
+        std::vector<jobs::ended_report> ended;
+        std::uint64_t nextEnd = 1;
+        std::uint64_t acknowledged = 0;
+    };
+    struct start_seen
+    {
+        std::string worker;
+        std::string task;
+        std::uint32_t run = 0;
+    };
+
+    jobs::worker_port port()
+    {
+        jobs::worker_port port;
+        port.start
+            = [this](jobs::order_target target, jobs::start_order order) -> kernel::task<jobs::order_answer> {
+            co_return start(target, order);
+        };
+        port.stop = [this](jobs::order_target target, jobs::task_name name,
+                           std::uint32_t run) -> kernel::task<jobs::order_answer> {
+            if (!admits(target))
+                co_return refused(jobs::order_refusal::fenced);
+            end(target.workerId, jobs::formatTask(name), run, jobs::run_end::stopped);
+            co_return accepted();
+        };
+        port.look
+            = [this](jobs::order_target target, jobs::look_order order) -> kernel::task<jobs::look_answer> {
+            if (order.wait.count() > 0)
+                co_await kernel::sleepFor(kernel::milliseconds(3));
+            co_return look(target, order);
+        };
+        port.pace = [](jobs::order_target, jobs::task_name, std::uint32_t,
+                       int) -> kernel::task<jobs::order_answer> { co_return jobs::order_answer(); };
+        return port;
+    }
+
+    //! Ends a run; nothing happens when it is not there.
+    void end(const std::string &worker, const std::string &task, std::uint32_t run, jobs::run_end how)
+    {
+        worker_state &state = workers[worker];
+        const auto found = state.runs.find(task);
+        if (found == state.runs.end() || found->second.run != run || found->second.ended)
+            return;
+        found->second.ended = true;
+        state.ended.push_back({state.nextEnd++, *jobs::parseTask(task), run, how, ""});
+    }
+
+    //! Ends everything that runs.
+    void endAll(jobs::run_end how)
+    {
+        for (auto &[worker, state] : workers) {
+            for (auto &[task, run] : state.runs) {
+                if (!run.ended)
+                    end(worker, task, run.run, how);
+            }
+        }
+    }
+
+    std::map<std::string, worker_state> workers;
+    std::vector<start_seen> starts;
+    //! Starts that are carried out although their answer is lost.
+    int loseStartAnswers = 0;
+
+private:
+    jobs::order_answer accepted() const
+    {
+        jobs::order_answer answer;
+        answer.outcome = jobs::order_outcome::accepted;
+        answer.workerClockMs = kernel::toMillis(kernel::monotonicNow());
+        return answer;
+    }
+
+    jobs::order_answer refused(jobs::order_refusal why) const
+    {
+        jobs::order_answer answer = accepted();
+        answer.outcome = jobs::order_outcome::refused;
+        answer.refusal = why;
+        return answer;
+    }
+
+    bool admits(const jobs::order_target &target)
+    {
+        worker_state &state = workers[target.workerId];
+        if (target.term < state.term)
+            return false;
+        state.term = target.term;
+        return true;
+    }
+
+    jobs::order_answer start(const jobs::order_target &target, const jobs::start_order &order)
+    {
+        if (!admits(target))
+            return refused(jobs::order_refusal::fenced);
+        const std::string task = jobs::formatTask(order.task);
+        run_state &run = workers[target.workerId].runs[task];
+        if (run.run > order.run || (run.run == order.run && run.ended))
+            return refused(jobs::order_refusal::obsolete);
+        if (run.run != order.run) {
+            run = {order.run, false};
+            starts.push_back({target.workerId, task, order.run});
+        }
+        if (loseStartAnswers > 0) {
+            --loseStartAnswers;
+            return {};
+        }
+        return accepted();
+    }
+
+    jobs::look_answer look(const jobs::order_target &target, const jobs::look_order &order)
+    {
+        jobs::look_answer answer;
+        if (!admits(target)) {
+            answer.result = refused(jobs::order_refusal::fenced);
+            return answer;
+        }
+        answer.result = accepted();
+        answer.bornMs = 1;
+        worker_state &state = workers[target.workerId];
+        state.acknowledged = std::max(state.acknowledged, order.acknowledge);
+        for (const auto &[task, run] : state.runs) {
+            if (!run.ended)
+                answer.running.push_back({*jobs::parseTask(task), run.run, "", 100, 0});
+        }
+        for (const jobs::ended_report &row : state.ended) {
+            if (row.number > state.acknowledged)
+                answer.ended.push_back(row);
+        }
+        return answer;
+    }
+};
+
+} // namespace almond::fakes
--- /dev/null
+++ b/tests/platform/platform_test.cpp
@@ -0,0 +1,152 @@
+#include "platform/caller_api.h"
+#include "platform/documents.h"
+#include "platform/worker_client.h"
+
+#include "jobs/job_check.h"
+
+#include <gtest/gtest.h>
+
+//! Each message of the platform is decoded once, and what can't be read is never taken for something else.
+namespace {
+
+using namespace almond;
+
+http::exchange_result answer(unsigned status, const std::string &body)
+{
+    http::exchange_result result;
+    result.status = http::exchange_status::answered;
+    result.answer.result(status);
+    result.answer.body() = body;
+    return result;
+}
+
+TEST(Documents, AConfigurationIsRead)
+{
+    const auto config = platform::decodeConfig(R"({"version":7,"routes":[{"name":"r","host":"h.example",
+        "prefix":"/p/","kind":"non_idempotent","priority":2,"service":"s","max_attempts":3,"stretch":1.5,
+        "target_duration_ms":250,"later":true}],"services":[{"name":"s"},{"name":"off","spare":true}],
+        "limits":{"max_body_bytes":1000}})");
+    ASSERT_TRUE(config);
+    EXPECT_EQ(config->queues.at("r").attempts, 3U);
+    EXPECT_EQ(config->queues.at("r").priority, 2);
+    EXPECT_TRUE(config->spareServices.contains("off"));
+    const jobs::queue_rules *found = jobs::findQueue(*config, "h.example", "/p/00000000000000aa");
+    ASSERT_TRUE(found);
+    EXPECT_EQ(found->name, "r");
+    EXPECT_FALSE(jobs::findQueue(*config, "other.example", "/p/"));
+}
+
+TEST(Documents, AConfigurationThatCantBeReadIsNone)
+{
+    for (const char *text : {"", "{", "[]", "{\"version\":\"7\"}", "{\"version\":1,\"routes\":{\"a\":1}}"})
+        EXPECT_FALSE(platform::decodeConfig(text)) << text;
+}
+
+const std::string goodWorker = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,
+    "state":"ready","cold_remaining_ms":0,"capacity":{"cpu":32000,"mem_mb":1000,"gpu":2},
+    "labels":["a","r1-3"],"clock_ms":5,"sequence":4,"born":77})";
+
+TEST(Documents, AWorkerIsRead)
+{
+    const auto worker = platform::decodeWorker("i-1", goodWorker);
+    ASSERT_TRUE(worker);
+    EXPECT_EQ(worker->bornMs, 77);
+    EXPECT_EQ(worker->rack, "r1-3");
+    EXPECT_EQ(worker->capacity.accelerators, 2);
+    EXPECT_FALSE(worker->leaving);
+}
+
+TEST(Documents, AnEntryOfAnotherWriterNamesNoWorker)
+{
+    const auto changed = [](const std::string &from, const std::string &to) {
+        std::string text = goodWorker;
+        return text.replace(text.find(from), from.size(), to);
+    };
+    for (const std::string &text :
+         {std::string("\xff\xfe"), std::string("{}"), changed("\"ready\"", "\"sleeping\""),
+          changed("\"ready\"", "7"), changed("\"cpu\":32000", "\"cpu\":\"many\""),
+          changed("10.0.0.1:80", "nowhere"), changed("\"service\":\"s\",", ""),
+          changed("[\"a\",\"r1-3\"]", "\"a\"")})
+        EXPECT_FALSE(platform::decodeWorker("i-1", text)) << text;
+}
+
+TEST(Submission, EachFieldArrivesWhereItBelongs)
+{
+    settings::findings found;
+    const jobs::job read = platform::decodeSubmission(
+        R"({"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"affinity":"r1-3"},
+        {"count":2,"cpu":2000,"after":[0],"checkpointing":true,"fills":true,"image":"i","target_ms":50,
+        "may_miss":1,"max_per_server":3,"long_running":true,"requires":"b","same_rack":true,"gang":true}]})",
+        found);
+    EXPECT_TRUE(found.empty());
+    ASSERT_EQ(read.steps.size(), 2U);
+    EXPECT_EQ(read.steps[0].dataRack, "r1-3");
+    EXPECT_EQ(read.steps[1].perWorkerLimit, 3U);
+    EXPECT_EQ(read.steps[1].mayBeAway, 1U);
+    EXPECT_TRUE(read.steps[1].lasting && read.steps[1].fills && read.steps[1].gang);
+}
+
+TEST(Submission, WhatCanNeverRunIsNamed)
+{
+    for (const char *text :
+         {"", "[1]", R"({"steps":[]})", R"({"steps":[{"count":0,"cpu":1}]})",
+          R"({"steps":[{"count":1,"cpu":1,"after":[0]}]})", R"({"steps":[{"count":"many"}]})",
+          R"({"steps":[{"count":1,"cpu":-4}]})", R"({"steps":{"count":1}})"}) {
+        settings::findings found;
+        jobs::job read = platform::decodeSubmission(text, found);
+        read.id = "00000000000000aa";
+        settings::append(found, jobs::checkJob(read, jobs::job_limits{}));
+        EXPECT_FALSE(found.empty()) << text;
+    }
+    jobs::job large;
+    large.id = "00000000000000aa";
+    large.steps.resize(1);
+    large.steps[0].count = 1;
+    large.payload.assign(4000, 'x');
+    EXPECT_TRUE(jobs::checkJob(large, jobs::job_limits{}).empty());
+    large.payload += 'x';
+    EXPECT_FALSE(jobs::checkJob(large, jobs::job_limits{}).empty());
+}
+
+TEST(WorkerClient, RefusalsAreToldApart)
+{
+    using jobs::order_refusal;
+    const std::vector<std::pair<std::string, order_refusal>> reasons{{"fence", order_refusal::fenced},
+                                                                     {"old", order_refusal::obsolete},
+                                                                     {"late", order_refusal::late},
+                                                                     {"room", order_refusal::noRoom},
+                                                                     {"ticket", order_refusal::ticket}};
+    for (const auto &[reason, expected] : reasons) {
+        const auto order = platform::decodeOrder(answer(409, R"({"clock_ms":9,"reason":")" + reason + "\"}"));
+        EXPECT_EQ(order.outcome, jobs::order_outcome::refused);
+        EXPECT_EQ(order.refusal, expected);
+        EXPECT_EQ(order.workerClockMs, 9);
+    }
+    EXPECT_EQ(platform::decodeOrder(answer(421, "")).refusal, order_refusal::otherLife);
+    EXPECT_EQ(platform::decodeOrder(answer(500, "")).outcome, jobs::order_outcome::unknown);
+    http::exchange_result cut;
+    cut.status = http::exchange_status::timedOut;
+    EXPECT_EQ(platform::decodeOrder(cut).outcome, jobs::order_outcome::unknown);
+    cut.status = http::exchange_status::notSent;
+    EXPECT_EQ(platform::decodeOrder(cut).outcome, jobs::order_outcome::notSent);
+}
+
+TEST(WorkerClient, ListsAreReadAndMalformedOnesCountAsNoAnswer)
+{
+    const auto look = platform::decodeLook(
+        answer(200, R"({"clock_ms":482113,"born":5,"running":[["00000000000000aa.0.1.17",2,"c",41,30]],
+        "ended":[[58,"00000000000000aa.0.1.9",1,"done",""],[59,"00000000000000aa.0.1.8",1,"alone","s"]]})"));
+    ASSERT_EQ(look.result.outcome, jobs::order_outcome::accepted);
+    ASSERT_EQ(look.running.size(), 1U);
+    EXPECT_EQ(look.running[0].figure, 30);
+    ASSERT_EQ(look.ended.size(), 2U);
+    EXPECT_EQ(look.ended[0].number, 58U);
+    EXPECT_EQ(look.ended[1].end, jobs::run_end::stopped);
+    EXPECT_EQ(look.bornMs, 5);
+    for (const char *body : {"", "[]", R"({"running":[]})", R"({"running":[["x"]],"ended":[]})",
+                             R"({"running":[],"ended":[["58"]]})"})
+        EXPECT_NE(platform::decodeLook(answer(200, body)).result.outcome, jobs::order_outcome::accepted)
+            << body;
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/fleet_test.cpp
@@ -0,0 +1,229 @@
+#include "fleet/caller_service.h"
+#include "fleet/job_owner.h"
+#include "tests/fakes/fake_fleet.h"
+#include "tests/fakes/shared_store.h"
+#include "tests/unit/job_fixtures.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+//! Jobs from acceptance to completion over one or more owners, with the store and the workers in memory.
+namespace {
+
+using namespace almond;
+using jobs::job_status;
+using kernel::task;
+
+constexpr const char *jobId = "00000000000000aa";
+
+class Fleet : public testing::Test
+{
+protected:
+    boost::asio::io_context context;
+    fakes::shared_store store;
+    fakes::fake_fleet workers;
+    wire::peer_link peers{context};
+    std::shared_ptr<const jobs::fleet_config> config
+        = std::make_shared<const jobs::fleet_config>(tests::fleetConfig());
+    std::shared_ptr<fleet::job_owner> owner;
+    fleet::owner_view view;
+
+    void TearDown() override
+    {
+        if (owner)
+            owner->resign("the test is over");
+        context.restart();
+        context.run_for(std::chrono::milliseconds(700));
+    }
+
+    //! Runs the loop until \a reached holds; false when it does not within the bound.
+    bool runUntil(const std::function<bool()> &reached)
+    {
+        constexpr std::chrono::seconds bound{20};
+        const auto end = std::chrono::steady_clock::now() + bound;
+        while (!reached() && std::chrono::steady_clock::now() < end) {
+            context.restart();
+            context.run_one_for(std::chrono::milliseconds(20));
+        }
+        return reached();
+    }
+
+    template<typename T>
+    T await(task<T> work)
+    {
+        std::optional<T> result;
+        boost::asio::co_spawn(context, std::move(work),
+                              [&result](const std::exception_ptr &, T value) { result = std::move(value); });
+        runUntil([&result] { return result.has_value(); });
+        return std::move(result.value());
+    }
+
+    fleet::caller_service callers()
+    {
+        fleet::caller_context needs;
+        needs.store = store.api();
+        needs.clock = kernel::monotonicNow;
+        needs.unixClock = kernel::systemNow;
+        needs.peers = &peers;
+        needs.owner = [this] { return view; };
+        needs.local = [this] { return owner; };
+        return fleet::caller_service(std::move(needs));
+    }
+
+    //! Takes the office as a new process, which replaces whoever holds it.
+    void takeOffice()
+    {
+        store.erase(fleet::election_key::owner);
+        view.termRevision = store.revisionOf(fleet::election_key::term);
+        const auto won = await(fleet::tryTakeOffice(store.api(), "a:1", view, fleet::election_rules{}));
+        ASSERT_TRUE(won);
+        view.term = won->term;
+        fleet::owner_services services;
+        services.processId = "process-" + std::to_string(won->term);
+        services.store = store.api();
+        services.workers = workers.port();
+        services.clock = kernel::monotonicNow;
+        services.unixClock = kernel::systemNow;
+        services.config = [this] { return config; };
+        services.configConfirmedAt = kernel::monotonicNow;
+        services.mayRenew = [] { return true; };
+        owner = std::make_shared<fleet::job_owner>(context, std::move(services), *won);
+        for (const char *id : {"v", "w"})
+            owner->takeWorker(id, tests::worker(id));
+        ASSERT_TRUE(await(owner->load()));
+        owner->start();
+    }
+
+    bool isStatus(job_status wanted) const { return owner->statusOf(jobId) == wanted; }
+
+    //! Every task must have been started once, with the run 1.
+    void expectStartedOnce(std::size_t tasks) const
+    {
+        std::set<std::string> names;
+        for (const fakes::fake_fleet::start_seen &start : workers.starts)
+            EXPECT_TRUE(names.insert(start.task).second) << start.task << " started twice";
+        EXPECT_EQ(names.size(), tasks);
+    }
+};
+
+jobs::job twoSteps()
+{
+    auto second = tests::step(2, 500);
+    second.after = {0};
+    return tests::makeJob(jobId, {tests::step(3, 500), second});
+}
+
+TEST_F(Fleet, AJobRunsStepByStepAndIsShownAsCompletedOnce)
+{
+    takeOffice();
+    fleet::caller_service service = callers();
+    ASSERT_EQ(await(service.submit(twoSteps(), kernel::milliseconds(1000))), fleet::call_outcome::ok);
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 3; }));
+    EXPECT_TRUE(isStatus(job_status::running));
+    workers.endAll(jobs::run_end::done);
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 5; }));
+    workers.endAll(jobs::run_end::done);
+    ASSERT_TRUE(runUntil([this] { return isStatus(job_status::completed); }));
+    expectStartedOnce(5);
+}
+
+TEST_F(Fleet, TheSameJobHandedInAgainStaysOneJob)
+{
+    takeOffice();
+    fleet::caller_service service = callers();
+    for (int time = 0; time < 3; ++time)
+        EXPECT_EQ(await(service.submit(twoSteps(), kernel::milliseconds(1000))), fleet::call_outcome::ok);
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 3; }));
+    expectStartedOnce(3);
+}
+
+TEST_F(Fleet, ASuccessorGoesOnWithoutStartingAnythingTwice)
+{
+    takeOffice();
+    fleet::caller_service service = callers();
+    await(service.submit(twoSteps(), kernel::milliseconds(1000)));
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 3; }));
+    const auto first = owner;
+    takeOffice();
+    // The earlier owner learns from a worker or the journal that it was replaced.
+    ASSERT_TRUE(runUntil([&first] { return first->isOver(); }));
+    workers.endAll(jobs::run_end::done);
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 5; }));
+    workers.endAll(jobs::run_end::done);
+    ASSERT_TRUE(runUntil([this] { return isStatus(job_status::completed); }));
+    expectStartedOnce(5);
+}
+
+TEST_F(Fleet, AnEndIsAcknowledgedOnlyOnceItIsInTheJournal)
+{
+    takeOffice();
+    fleet::caller_service service = callers();
+    await(service.submit(twoSteps(), kernel::milliseconds(1000)));
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 3; }));
+    store.down = true;
+    workers.endAll(jobs::run_end::done);
+    runUntil([this] { return owner->counters().looks >= 8; });
+    for (const auto &[id, state] : workers.workers)
+        EXPECT_EQ(state.acknowledged, 0U);
+    EXPECT_EQ(workers.starts.size(), 3U);
+    store.down = false;
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 5; }));
+}
+
+TEST_F(Fleet, AStartWhoseAnswerIsLostIsNotRepeatedElsewhere)
+{
+    workers.loseStartAnswers = 3;
+    takeOffice();
+    fleet::caller_service service = callers();
+    await(service.submit(twoSteps(), kernel::milliseconds(1000)));
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 3 && owner->counters().starts >= 3; }));
+    expectStartedOnce(3);
+}
+
+TEST_F(Fleet, ACancelledJobIsStoppedAndStartsNothingMore)
+{
+    takeOffice();
+    fleet::caller_service service = callers();
+    await(service.submit(twoSteps(), kernel::milliseconds(1000)));
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 3; }));
+    EXPECT_EQ(await(service.cancel(jobId, kernel::milliseconds(1000))), fleet::call_outcome::ok);
+    ASSERT_TRUE(runUntil([this] {
+        std::size_t ended = 0;
+        for (const auto &[id, state] : workers.workers)
+            ended += state.ended.size();
+        return ended == 3;
+    }));
+    EXPECT_TRUE(isStatus(job_status::cancelled));
+    EXPECT_EQ(workers.starts.size(), 3U);
+}
+
+TEST_F(Fleet, CallersAreToldTheTruthWhenTheStoreTurnsThemAway)
+{
+    takeOffice();
+    fleet::caller_service service = callers();
+    store.down = true;
+    EXPECT_EQ(await(service.submit(twoSteps(), kernel::milliseconds(1000))), fleet::call_outcome::refused);
+    store.down = false;
+    store.loseAnswers = 1;
+    EXPECT_EQ(await(service.submit(twoSteps(), kernel::milliseconds(1000))), fleet::call_outcome::ok);
+    EXPECT_EQ(await(service.cancel("00000000000000ff", kernel::milliseconds(1000))),
+              fleet::call_outcome::absent);
+}
+
+TEST_F(Fleet, NothingStartsInAWithdrawnFailureDomain)
+{
+    auto closed = tests::fleetConfig();
+    closed.withdrawnDomains.insert("west-a");
+    config = std::make_shared<const jobs::fleet_config>(closed);
+    takeOffice();
+    fleet::caller_service service = callers();
+    await(service.submit(twoSteps(), kernel::milliseconds(1000)));
+    runUntil([this] { return owner->counters().looks >= 2 && owner->pendingIn("checks") == 1; });
+    EXPECT_TRUE(workers.starts.empty());
+    config = std::make_shared<const jobs::fleet_config>(tests::fleetConfig());
+    owner->wake();
+    EXPECT_TRUE(runUntil([this] { return workers.starts.size() == 3; }));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/job_fixtures.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "jobs/ledger.h"
+#include "jobs/planner.h"
+#include "jobs/worker_session.h"
+
+#include <string>
+
+//! Jobs, workers and records that several tests need.
+namespace almond::tests {
+
+inline jobs::step_spec step(std::uint32_t count, std::int64_t millicores, std::int64_t memoryMb = 1000)
+{
+    jobs::step_spec spec;
+    spec.count = count;
+    spec.demand = {millicores, memoryMb, 0};
+    return spec;
+}
+
+inline jobs::job makeJob(const std::string &id, std::vector<jobs::step_spec> steps,
+                         const std::string &queue = "checks")
+{
+    jobs::job made;
+    made.id = id;
+    made.queue = queue;
+    made.steps = std::move(steps);
+    return made;
+}
+
+inline jobs::worker_info worker(const std::string &id, std::int64_t millicores = 32'000,
+                                const std::string &rack = "r1")
+{
+    jobs::worker_info info;
+    info.id = id;
+    info.bornMs = 1;
+    info.service = "moderator";
+    info.address = "10.0.0.1:80";
+    info.failureDomain = "west-a";
+    info.rack = rack;
+    info.labels = {"a", rack};
+    info.capacity = {millicores, 128'000, 0};
+    return info;
+}
+
+inline jobs::fleet_config fleetConfig()
+{
+    jobs::fleet_config config;
+    config.version = 1;
+    for (const char *name : {"checks", "reviews"}) {
+        jobs::queue_rules queue;
+        queue.name = name;
+        queue.host = "news.example";
+        queue.prefix = std::string("/") + name + "/";
+        queue.service = "moderator";
+        queue.attempts = 3;
+        queue.priority = std::string(name) == "checks" ? 0 : 2;
+        config.queues[name] = queue;
+    }
+    return config;
+}
+
+inline jobs::ledger_record started(const jobs::task_name &task, std::uint32_t run, const std::string &worker)
+{
+    jobs::ledger_record record;
+    record.task = task;
+    record.run = run;
+    record.worker = worker;
+    return record;
+}
+
+inline jobs::ledger_record ended(const jobs::task_name &task, std::uint32_t run, jobs::run_end end)
+{
+    jobs::ledger_record record;
+    record.kind = jobs::record_kind::ended;
+    record.task = task;
+    record.run = run;
+    record.end = end;
+    return record;
+}
+
+} // namespace almond::tests
--- a/tests/unit/loop.h
+++ b/tests/unit/loop.h
@@ -17,6 +17,7 @@
         if (failure)
             std::rethrow_exception(failure);
     });
+    context.restart();
     while (!over)
         context.run_one();
 }
--- /dev/null
+++ b/tests/unit/planner_test.cpp
@@ -0,0 +1,183 @@
+#include "tests/unit/draw.h"
+#include "tests/unit/job_fixtures.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+//! Who gets room, and where work goes.
+namespace {
+
+using namespace almond;
+
+struct planned
+{
+    jobs::ledger book;
+    jobs::fleet_config config = tests::fleetConfig();
+    jobs::interference_view interference;
+    std::vector<jobs::candidate> candidates;
+
+    void addWorker(const jobs::worker_info &info)
+    {
+        const auto load = book.loads.find(jobs::incarnationOf(info));
+        candidates.push_back(jobs::makeCandidate(info, load == book.loads.end() ? nullptr : &load->second));
+    }
+
+    std::vector<jobs::ledger_record> plan(std::size_t limit = 1000) const
+    {
+        return jobs::planStarts(book, config, interference, candidates, limit);
+    }
+};
+
+TEST(Planner, AStepOverItsLimitOnAWorkerGoesElsewhere)
+{
+    planned world;
+    auto spread = tests::step(4, 100);
+    spread.perWorkerLimit = 1;
+    jobs::addJob(world.book, tests::makeJob("00000000000000aa", {spread}));
+    world.addWorker(tests::worker("v"));
+    world.addWorker(tests::worker("w"));
+    EXPECT_EQ(world.plan().size(), 2U);
+}
+
+TEST(Planner, AGangStartsWholeOrNotAtAllWithOneRunNumber)
+{
+    planned world;
+    auto gang = tests::step(3, 20'000);
+    gang.gang = true;
+    jobs::addJob(world.book, tests::makeJob("00000000000000aa", {gang}));
+    world.addWorker(tests::worker("v"));
+    world.addWorker(tests::worker("w"));
+    EXPECT_TRUE(world.plan().empty());
+    world.addWorker(tests::worker("x"));
+    const auto records = world.plan();
+    ASSERT_EQ(records.size(), 3U);
+    for (const jobs::ledger_record &record : records)
+        EXPECT_EQ(record.run, records.front().run);
+}
+
+TEST(Planner, AGangThatWantsOneRackGetsItWhereOneHasRoom)
+{
+    planned world;
+    auto gang = tests::step(2, 20'000);
+    gang.gang = true;
+    gang.sameRack = true;
+    jobs::addJob(world.book, tests::makeJob("00000000000000aa", {gang}));
+    world.addWorker(tests::worker("v", 32'000, "r1"));
+    world.addWorker(tests::worker("w", 32'000, "r2"));
+    world.addWorker(tests::worker("x", 32'000, "r2"));
+    for (const jobs::ledger_record &record : world.plan())
+        EXPECT_NE(record.worker, "v@1");
+}
+
+TEST(Planner, AWorkerWithoutTheLabelGetsNothing)
+{
+    planned world;
+    auto labelled = tests::step(1, 100);
+    labelled.requiredLabel = "b";
+    jobs::addJob(world.book, tests::makeJob("00000000000000aa", {labelled}));
+    world.addWorker(tests::worker("v"));
+    EXPECT_TRUE(world.plan().empty());
+}
+
+TEST(Planner, UrgentQueuesComeFirst)
+{
+    planned world;
+    jobs::addJob(world.book, tests::makeJob("00000000000000aa", {tests::step(1, 20'000)}, "reviews"));
+    jobs::addJob(world.book, tests::makeJob("00000000000000ab", {tests::step(1, 20'000)}, "checks"));
+    world.addWorker(tests::worker("v"));
+    const auto records = world.plan();
+    ASSERT_EQ(records.size(), 1U);
+    EXPECT_EQ(records.front().task.job, "00000000000000ab");
+}
+
+//! Load pattern: a stream of small batch tasks of the same priority beside a large lasting task that fits
+//! nowhere. Without a reservation the small ones take each piece of room as it comes.
+TEST(Planner, SmallBatchTasksDoNotStarveALargeLastingOne)
+{
+    planned world;
+    auto lasting = tests::step(1, 10'000);
+    lasting.lasting = true;
+    jobs::addJob(world.book, tests::makeJob("00000000000000aa", {lasting}));
+    jobs::addJob(world.book, tests::makeJob("00000000000000ab", {tests::step(200, 2000)}));
+    const jobs::worker_info only = tests::worker("v", 12'000);
+    std::uint32_t next = 0;
+    for (; next < 6; ++next)
+        jobs::apply(world.book, tests::started({"00000000000000ab", 0, 0, next}, 1, "v@1"));
+    bool lastingStarted = false;
+    for (std::uint32_t round = 0; round < 6 && !lastingStarted; ++round) {
+        jobs::apply(world.book, tests::ended({"00000000000000ab", 0, 0, round}, 1, jobs::run_end::done));
+        world.candidates.clear();
+        world.addWorker(only);
+        for (const jobs::ledger_record &record : world.plan()) {
+            jobs::apply(world.book, record);
+            lastingStarted = lastingStarted || record.task.job == "00000000000000aa";
+        }
+    }
+    EXPECT_TRUE(lastingStarted);
+}
+
+//! Load pattern: a wave of filling tasks whose image presses one serving image hard and another one hardly.
+TEST(Planner, AWaveOfFillingTasksGoesWhereItDisturbsTheLeast)
+{
+    planned world;
+    auto filling = tests::step(4, 4000);
+    filling.fills = true;
+    filling.image = "heavy";
+    jobs::addJob(world.book, tests::makeJob("00000000000000aa", {filling}, "reviews"));
+    world.addWorker(tests::worker("pressed"));
+    world.addWorker(tests::worker("robust"));
+    world.candidates[0].serving = {{"frail", 2.0}};
+    world.candidates[1].serving = {{"sturdy", 2.0}};
+    world.interference.model.slackPerCore[{"frail", "heavy"}] = 0.25;
+    world.interference.model.slackPerCore[{"sturdy", "heavy"}] = 0.02;
+    const auto records = world.plan();
+    EXPECT_EQ(records.size(), 4U);
+    for (const jobs::ledger_record &record : records)
+        EXPECT_EQ(record.worker, "robust@1");
+}
+
+RC_GTEST_PROP(PlannerProperty, NoWorkerIsEverCommittedBeyondItsCapacity, ())
+{
+    planned world;
+    const int jobCount = tests::draw(1, 6);
+    for (int number = 0; number < jobCount; ++number) {
+        auto spec = tests::step(tests::draw(1U, 12U), tests::draw<std::int64_t>(100, 9000),
+                                tests::draw<std::int64_t>(100, 50'000));
+        spec.lasting = tests::draw(0, 3) == 0;
+        spec.fills = !spec.lasting && tests::draw(0, 3) == 0;
+        spec.gang = !spec.lasting && !spec.fills && tests::draw(0, 4) == 0;
+        jobs::addJob(world.book, tests::makeJob("00000000000000a" + std::to_string(number), {spec}));
+    }
+    const std::vector<jobs::worker_info> workers{tests::worker("u", 16'000), tests::worker("v"),
+                                                 tests::worker("w", 48'000)};
+    for (int round = 0; round < 3; ++round) {
+        world.candidates.clear();
+        for (const jobs::worker_info &info : workers)
+            world.addWorker(info);
+        for (const jobs::ledger_record &record : world.plan())
+            RC_ASSERT(jobs::apply(world.book, record));
+        for (const jobs::worker_info &info : workers) {
+            const auto load = world.book.loads.find(jobs::incarnationOf(info));
+            if (load != world.book.loads.end())
+                RC_ASSERT(placement::fits(load->second.firm, info.capacity));
+        }
+    }
+}
+
+TEST(Planner, AJobIsGivenUpAfterAsManyFailuresAsItsQueueAllows)
+{
+    planned world;
+    const jobs::task_name task{"00000000000000aa", 0, 0, 0};
+    jobs::addJob(world.book, tests::makeJob(task.job, {tests::step(1, 100)}));
+    const std::vector<jobs::task_name> touched{task};
+    for (std::uint32_t run = 1; run <= 3; ++run) {
+        EXPECT_TRUE(jobs::jobsToGiveUp(world.book, world.config, touched).empty());
+        jobs::apply(world.book, tests::started(task, 2 * run, "v@1"));
+        jobs::apply(world.book, tests::ended(task, 2 * run, jobs::run_end::failed));
+        jobs::apply(world.book, tests::started(task, 2 * run + 1, "v@1"));
+        jobs::apply(world.book, tests::ended(task, 2 * run + 1, jobs::run_end::lost));
+    }
+    EXPECT_EQ(jobs::jobsToGiveUp(world.book, world.config, touched).size(), 1U);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/worker_session_test.cpp
@@ -0,0 +1,163 @@
+#include "tests/unit/job_fixtures.h"
+
+#include <gtest/gtest.h>
+
+//! What an owner may conclude from a worker's answers and silences. Each test but the first ones is a fault
+//! that a day on the users' bench has shown.
+namespace {
+
+using namespace almond;
+using jobs::order_outcome;
+using jobs::run_end;
+
+constexpr const char *jobId = "00000000000000aa";
+const jobs::task_name task{jobId, 0, 0, 0};
+
+kernel::time_point at(std::int64_t ms)
+{
+    return kernel::fromMillis(ms);
+}
+
+jobs::look_answer answered(std::int64_t clockMs)
+{
+    jobs::look_answer answer;
+    answer.result.outcome = order_outcome::accepted;
+    answer.result.workerClockMs = clockMs;
+    answer.bornMs = 1;
+    return answer;
+}
+
+struct met
+{
+    jobs::session_rules rules;
+    jobs::ledger book;
+    jobs::worker_session session = jobs::openSession(tests::worker("w"), at(0));
+
+    met()
+    {
+        jobs::addJob(book, tests::makeJob(jobId, {tests::step(1, 100)}));
+        jobs::takeLook(session, answered(1000), book, at(100), at(110));
+    }
+
+    void plan(std::uint32_t run) { jobs::apply(book, tests::started(task, run, "w@1")); }
+};
+
+TEST(WorkerSession, ARunThatTheWorkerAcceptedAndNoLongerShowsIsLost)
+{
+    met world;
+    world.plan(1);
+    world.session.accepted[task] = {1, at(200)};
+    const auto records = jobs::takeLook(world.session, answered(1200), world.book, at(300), at(310));
+    ASSERT_EQ(records.size(), 1U);
+    EXPECT_EQ(records.front().end, run_end::lost);
+}
+
+TEST(WorkerSession, ARunThatIsPlannedButNotOrderedYetIsNotLost)
+{
+    met world;
+    world.plan(1);
+    world.session.ordering[task] = 1;
+    EXPECT_TRUE(jobs::takeLook(world.session, answered(1200), world.book, at(300), at(310)).empty());
+    EXPECT_TRUE(jobs::lapsedRuns(world.session, world.rules, world.book, at(900'000)).empty());
+}
+
+TEST(WorkerSession, AnEarlierRunsEndThatIsListedAgainLosesNoLaterRun)
+{
+    met world;
+    world.plan(2);
+    world.session.accepted[task] = {2, at(400)};
+    jobs::look_answer answer = answered(1300);
+    answer.ended.push_back({1, task, 1, run_end::failed, ""});
+    // The look was sent before the second run was accepted, so that it can't show it.
+    EXPECT_TRUE(jobs::takeLook(world.session, answer, world.book, at(390), at(410)).empty());
+    EXPECT_TRUE(world.session.accepted.contains(task));
+}
+
+TEST(WorkerSession, ASilentWorkersLeaseEndsAndItsRunsAreLost)
+{
+    met world;
+    world.plan(1);
+    world.session.accepted[task] = {1, at(200)};
+    for (std::int64_t now = 300; now < 20'000; now += 500) {
+        if (!jobs::isSilent(world.session, world.rules, at(now)))
+            jobs::noteGrant(world.session, *jobs::nextLeaseEnd(world.session, world.rules, at(now)),
+                            world.rules);
+        jobs::noteSilence(world.session, at(now));
+    }
+    const std::int64_t bound = 300 + 1200 + 500 + world.rules.lease.count() * 102 / 98 + 500;
+    EXPECT_TRUE(jobs::lapsedRuns(world.session, world.rules, world.book, at(1000 + world.rules.lease.count()))
+                    .empty());
+    EXPECT_EQ(jobs::lapsedRuns(world.session, world.rules, world.book, at(bound)).size(), 1U);
+}
+
+TEST(WorkerSession, TheLeaseCountsAsOverOnlyAfterTheSlowestClockHasPassedIt)
+{
+    met world;
+    world.plan(1);
+    const std::int64_t leaseEnd = *jobs::nextLeaseEnd(world.session, world.rules, at(110));
+    jobs::noteGrant(world.session, leaseEnd, world.rules);
+    // The worker's clock showed 1000 at 110 and runs 2 percent slow.
+    const std::int64_t over = 110 + (leaseEnd - 1000) * 100 / 98;
+    jobs::noteSilence(world.session, at(120));
+    EXPECT_TRUE(jobs::lapsedRuns(world.session, world.rules, world.book, at(over)).empty());
+    EXPECT_FALSE(jobs::lapsedRuns(world.session, world.rules, world.book, at(over + 400)).empty());
+}
+
+//! An owner that is slow to reach its workers would else start their tasks a second time.
+TEST(WorkerSession, TheClockAloneEndsNoRunOfAWorkerThatHasNotBeenFoundSilent)
+{
+    met world;
+    world.plan(1);
+    EXPECT_TRUE(jobs::lapsedRuns(world.session, world.rules, world.book, at(900'000)).empty());
+}
+
+TEST(WorkerSession, AnotherLifeEndsEveryRunAtOnce)
+{
+    met world;
+    world.plan(1);
+    jobs::look_answer answer = answered(10);
+    answer.bornMs = 2;
+    jobs::takeLook(world.session, answer, world.book, at(300), at(310));
+    EXPECT_TRUE(world.session.dead);
+    EXPECT_EQ(jobs::lapsedRuns(world.session, world.rules, world.book, at(311)).size(), 1U);
+}
+
+TEST(WorkerSession, ALostRunResumesAtTheNewestCheckpointThatWasSeen)
+{
+    met world;
+    world.plan(1);
+    jobs::look_answer answer = answered(1200);
+    answer.running.push_back({task, 1, "c7", 40, 0});
+    jobs::takeLook(world.session, answer, world.book, at(300), at(310));
+    world.session.dead = true;
+    const auto records = jobs::lapsedRuns(world.session, world.rules, world.book, at(320));
+    ASSERT_EQ(records.size(), 1U);
+    EXPECT_EQ(records.front().checkpoint, "c7");
+}
+
+TEST(WorkerSession, WhatRunsWithoutAnOpenJobIsUnwanted)
+{
+    met world;
+    world.plan(1);
+    jobs::look_answer answer = answered(1200);
+    answer.running.push_back({task, 1, "", 100, 0});
+    answer.running.push_back({{jobId, 0, 0, 7}, 3, "", 100, 0});
+    jobs::takeLook(world.session, answer, world.book, at(300), at(310));
+    EXPECT_EQ(jobs::unwantedRuns(world.session, world.book).size(), 1U);
+    jobs::cancelJob(world.book, jobId);
+    EXPECT_EQ(jobs::unwantedRuns(world.session, world.book).size(), 2U);
+}
+
+TEST(WorkerSession, NothingGoesToAWorkerThatLeavesIsSilentOrHasNotAnswered)
+{
+    met world;
+    EXPECT_TRUE(jobs::mayTakeWork(world.session, world.rules, at(200)));
+    EXPECT_FALSE(jobs::mayTakeWork(jobs::openSession(tests::worker("x"), at(0)), world.rules, at(200)));
+    world.session.info.leaving = true;
+    EXPECT_FALSE(jobs::mayTakeWork(world.session, world.rules, at(200)));
+    world.session.info.leaving = false;
+    jobs::noteSilence(world.session, at(300));
+    EXPECT_FALSE(jobs::mayTakeWork(world.session, world.rules, at(300 + 1201)));
+}
+
+} // namespace
