Under overload start jobs that can still be in time first

Ruled out: shortest job first (the largest jobs must not starve); a change of priorities. Test: Planner.UnderOverloadJobsThatCanStillBeInTimeGoFirst.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -173,8 +173,9 @@
     jobs::openDueOccurrences(m_book, m_services.unixClock());
     const milliseconds configAge = now - m_services.configConfirmedAt();
     if (configAge < m_services.rules.configValidity && !m_book.withWaiting.empty()) {
-        for (ledger_record &record : jobs::planStarts(m_book, *config, m_interference, candidates(now),
-                                                      m_services.rules.startsPerCommit)) {
+        for (ledger_record &record :
+             jobs::planStarts(m_book, *config, m_interference, candidates(now),
+                              m_services.rules.startsPerCommit, m_services.unixClock())) {
             if (!jobs::apply(m_book, record))
                 continue;
             // From here on until its order is settled a worker that does not show the run has not lost it.
--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -1,5 +1,7 @@
 #include "jobs/planner.h"
 
+#include "jobs/urgency.h"
+
 #include <algorithm>
 #include <limits>
 #include <tuple>
@@ -17,6 +19,7 @@
     int priority = 0;
     //! False sorts first.
     bool ends = true;
+    standing prospect = standing::inTime;
     std::int64_t acceptedAtMs = 0;
     const job_state *owner = nullptr;
     std::uint32_t occurrence = 0;
@@ -24,7 +27,7 @@
     const queue_rules *queue = nullptr;
 };
 
-std::vector<ready_step> readySteps(const ledger &book, const fleet_config &config)
+std::vector<ready_step> readySteps(const ledger &book, const fleet_config &config, time_point unixNow)
 {
     std::vector<ready_step> ready;
     for (const std::string &id : book.withWaiting) {
@@ -33,18 +36,19 @@
         if (queue == config.queues.end())
             continue;
         for (const auto &[number, occurrence] : owner.occurrences) {
+            const standing prospect = standingOf(owner, number, queue->second, unixNow);
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 if (occurrence.steps[step].waiting > 0 && isReady(owner, occurrence, step))
-                    ready.push_back({queue->second.priority, !owner.spec.steps[step].lasting,
+                    ready.push_back({queue->second.priority, !owner.spec.steps[step].lasting, prospect,
                                      owner.spec.acceptedAtMs, &owner, number, step, &queue->second});
             }
         }
     }
     std::sort(ready.begin(), ready.end(), [](const ready_step &left, const ready_step &right) {
-        return std::tie(left.priority, left.ends, left.acceptedAtMs, left.owner->spec.id, left.occurrence,
-                        left.step)
-            < std::tie(right.priority, right.ends, right.acceptedAtMs, right.owner->spec.id, right.occurrence,
-                       right.step);
+        return std::tie(left.priority, left.ends, left.prospect, left.acceptedAtMs, left.owner->spec.id,
+                        left.occurrence, left.step)
+            < std::tie(right.priority, right.ends, right.prospect, right.acceptedAtMs, right.owner->spec.id,
+                       right.occurrence, right.step);
     });
     return ready;
 }
@@ -288,10 +292,11 @@
 
 std::vector<ledger_record> planStarts(const ledger &book, const fleet_config &config,
                                       const interference_view &interference,
-                                      std::vector<candidate> candidates, std::size_t limit)
+                                      std::vector<candidate> candidates, std::size_t limit,
+                                      time_point unixNow)
 {
     round_state round{book, interference, std::move(candidates), {}, {}};
-    for (const ready_step &step : readySteps(book, config)) {
+    for (const ready_step &step : readySteps(book, config, unixNow)) {
         if (round.records.size() >= limit)
             break;
         if (step.owner->spec.steps[step.step].gang)
--- a/src/jobs/planner.h
+++ b/src/jobs/planner.h
@@ -41,7 +41,8 @@
 //! records of the kind started, at most about \a limit of them.
 std::vector<ledger_record> planStarts(const ledger &book, const fleet_config &config,
                                       const interference_view &interference,
-                                      std::vector<candidate> candidates, std::size_t limit);
+                                      std::vector<candidate> candidates, std::size_t limit,
+                                      time_point unixNow);
 
 //! Jobs of which a task, or a gang, has failed as often as its queue allows, among \a touched.
 std::vector<std::string> jobsToGiveUp(const ledger &book, const fleet_config &config,
--- /dev/null
+++ b/src/jobs/urgency.cpp
@@ -0,0 +1,53 @@
+#include "jobs/urgency.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace almond::jobs {
+
+namespace {
+
+//! Up to this multiple of its objective a job that is late is still of some use to its caller.
+constexpr int usefulMultiple = 3;
+
+} // namespace
+
+milliseconds longestChain(const job &spec, const occurrence_state *occurrence)
+{
+    std::vector<milliseconds> chains(spec.steps.size(), milliseconds(0));
+    milliseconds longest{0};
+    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
+        const step_spec &step = spec.steps[index];
+        for (const std::uint32_t earlier : step.after)
+            chains[index] = std::max(chains[index], chains[earlier]);
+        const bool done = occurrence && occurrence->steps[index].done == step.count;
+        chains[index] += done ? milliseconds(0) : step.declaredDuration;
+        longest = std::max(longest, chains[index]);
+    }
+    return longest;
+}
+
+milliseconds objectiveOf(const job &spec, const queue_rules &queue)
+{
+    const auto chain = static_cast<double>(longestChain(spec, nullptr).count());
+    return milliseconds(static_cast<std::int64_t>(queue.stretch * chain)) + queue.targetDuration;
+}
+
+standing standingOf(const job_state &owner, std::uint32_t number, const queue_rules &queue,
+                    time_point unixNow)
+{
+    const job &spec = owner.spec;
+    const std::int64_t begunMs = spec.repetitions > 0
+        ? spec.firstDueMs + static_cast<std::int64_t>(number) * spec.interval.count()
+        : spec.acceptedAtMs;
+    const milliseconds objective = objectiveOf(spec, queue);
+    const auto occurrence = owner.occurrences.find(number);
+    const milliseconds remaining
+        = longestChain(spec, occurrence == owner.occurrences.end() ? nullptr : &occurrence->second);
+    const milliseconds ends = unixNow + remaining - kernel::fromMillis(begunMs);
+    if (ends <= objective)
+        return standing::inTime;
+    return ends <= objective * usefulMultiple ? standing::late : standing::farTooLate;
+}
+
+} // namespace almond::jobs
--- a/tests/unit/operators_page_test.cpp
+++ b/tests/unit/operators_page_test.cpp
@@ -1,3 +1,4 @@
+#include "daemon/node_settings.h"
 #include "settings/process_settings.h"
 
 #include <gtest/gtest.h>
@@ -12,7 +13,7 @@
 
 std::string operatorsPage()
 {
-    std::ifstream file(std::string(ALMOND_SOURCE_DIR) + "/docs/OPERATORS.md");
+    std::ifstream file(std::string(ALMOND_SOURCE_DIR) + "/docs/OPERATIONS.md");
     std::ostringstream text;
     text << file.rdbuf();
     return text.str();
@@ -33,6 +34,11 @@
     expectDocumented(settings::readGatewaySettings(settings::json::object()).described);
 }
 
+TEST(OperatorsPage, NamesEverySettingOfTheNode)
+{
+    expectDocumented(daemon::readNodeSettings(settings::json::object()).described);
+}
+
 TEST(OperatorsPage, NamesEverySettingOfTheScheduler)
 {
     expectDocumented(settings::readSchedulerSettings(settings::json::object()).described);
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -22,9 +22,10 @@
         candidates.push_back(jobs::makeCandidate(info, load == book.loads.end() ? nullptr : &load->second));
     }
 
-    std::vector<jobs::ledger_record> plan(std::size_t limit = 1000) const
+    std::vector<jobs::ledger_record> plan(std::int64_t unixMs = 0) const
     {
-        return jobs::planStarts(book, config, interference, candidates, limit);
+        constexpr std::size_t limit = 1000;
+        return jobs::planStarts(book, config, interference, candidates, limit, kernel::fromMillis(unixMs));
     }
 };
 
@@ -116,6 +117,33 @@
     EXPECT_TRUE(lastingStarted);
 }
 
+//! Load pattern: overload. A queue in the order of arrival makes every job late; one that can still be in
+//! time goes before one that can't, and that one before one that is of no use any more.
+TEST(Planner, UnderOverloadJobsThatCanStillBeInTimeGoFirst)
+{
+    planned world;
+    const auto addAccepted = [&world](const char *id, std::int64_t acceptedAtMs) {
+        auto spec = tests::step(1, 20'000);
+        spec.declaredDuration = kernel::milliseconds(2000);
+        jobs::job made = tests::makeJob(id, {spec});
+        made.acceptedAtMs = acceptedAtMs;
+        jobs::addJob(world.book, std::move(made));
+    };
+    world.config.queues["checks"].stretch = 2.0;
+    addAccepted("00000000000000aa", 1000);
+    addAccepted("00000000000000ab", 15'000);
+    addAccepted("00000000000000ac", 19'000);
+    for (const char *expected : {"00000000000000ac", "00000000000000ab", "00000000000000aa"}) {
+        world.candidates.clear();
+        world.addWorker(tests::worker("v"));
+        const auto records = world.plan(20'000);
+        ASSERT_EQ(records.size(), 1U);
+        EXPECT_EQ(records.front().task.job, expected);
+        jobs::apply(world.book, records.front());
+        jobs::apply(world.book, tests::ended(records.front().task, 1, jobs::run_end::done));
+    }
+}
+
 //! Load pattern: a wave of filling tasks whose image presses one serving image hard and another one hardly.
 TEST(Planner, AWaveOfFillingTasksGoesWhereItDisturbsTheLeast)
 {
