Take an obsolete start as one that was there, not as one that never began

Ruled out: a look that misses the run (none was made in between), a lapsed lease. The test (AStartWhoseAnswerIsLostAndWhoseRunHasEndedIsNotRepeated) failed with each task started twice; after: it passes. Conclusion: after a refusal as obsolete only a look tells what became of the run.

--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -223,7 +223,10 @@
 {
     const time_point now = m_services.clock();
     jobs::noteAnswer(worker.session, answer, now);
-    if (answer.outcome == order_outcome::accepted) {
+    // An obsolete run was there and is over, or was stopped before it came; the next look tells which.
+    const bool isThere = answer.outcome == order_outcome::accepted
+        || (answer.outcome == order_outcome::refused && answer.refusal == order_refusal::obsolete);
+    if (isThere) {
         ++m_counters.starts;
         worker.session.accepted[record.task] = {record.run, now};
         worker.session.ordering.erase(record.task);
--- a/tests/fakes/fake_fleet.h
+++ b/tests/fakes/fake_fleet.h
@@ -87,6 +87,8 @@
     std::vector<start_seen> starts;
     //! Starts that are carried out although their answer is lost.
     int loseStartAnswers = 0;
+    //! Runs end well as soon as they start.
+    bool endAtOnce = false;
 
 private:
     jobs::order_answer accepted() const
@@ -125,6 +127,8 @@
         if (run.run != order.run) {
             run = {order.run, false};
             starts.push_back({target.workerId, task, order.run});
+            if (endAtOnce)
+                end(target.workerId, task, order.run, jobs::run_end::done);
         }
         if (loseStartAnswers > 0) {
             --loseStartAnswers;
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -181,6 +181,18 @@
     expectStartedOnce(3);
 }
 
+//! The repeated order is refused as obsolete, which says that the run was there, not that it never began.
+TEST_F(Fleet, AStartWhoseAnswerIsLostAndWhoseRunHasEndedIsNotRepeated)
+{
+    workers.loseStartAnswers = 3;
+    workers.endAtOnce = true;
+    takeOffice();
+    fleet::caller_service service = callers();
+    await(service.submit(twoSteps(), kernel::milliseconds(1000)));
+    ASSERT_TRUE(runUntil([this] { return isStatus(job_status::completed); }));
+    expectStartedOnce(5);
+}
+
 TEST_F(Fleet, ACancelledJobIsStoppedAndStartsNothingMore)
 {
     takeOffice();
