--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -3,10 +3,10 @@
 #include "kernel/time.h"
 #include "placement/types.h"
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace almond::jobs {
@@ -76,7 +76,12 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
-    auto operator<=>(const task_name &) const = default;
+    bool operator==(const task_name &) const = default;
+    bool operator<(const task_name &other) const
+    {
+        return std::tie(job, occurrence, step, index)
+            < std::tie(other.job, other.occurrence, other.step, other.index);
+    }
 };
 
 //! How a run of a task ended.
--- a/tests/fakes/shared_store.h
+++ b/tests/fakes/shared_store.h
@@ -26,7 +26,7 @@
                            kernel::milliseconds wait) -> kernel::task<store::watch_reply> {
             if (beforeWatch)
                 beforeWatch();
-            if (after >= forgotten && !hasChanges(prefix, after))
+            if (after >= m_forgotten && !hasChanges(prefix, after))
                 co_await kernel::sleepFor(std::min(wait, kernel::milliseconds(5)));
             co_return watch(prefix, after);
         };
@@ -41,14 +41,14 @@
             co_return write(std::move(change));
         };
         api.grantLease = [this](kernel::milliseconds) -> kernel::task<store::store_reply> {
-            co_return store::store_reply{status(), std::to_string(++leases), 0};
+            co_return store::store_reply{status(), std::to_string(++m_leases), 0};
         };
         api.keepAlive = [this](std::string) -> kernel::task<store::store_reply> {
             co_return store::store_reply{status(), "", 0};
         };
         api.revokeLease = [this](std::string lease) -> kernel::task<store::store_reply> {
             std::vector<std::string> gone;
-            for (const auto &[key, entry] : items) {
+            for (const auto &[key, entry] : m_items) {
                 if (entry.lease == lease)
                     gone.push_back(key);
             }
@@ -61,26 +61,26 @@
 
     void put(const std::string &key, const std::string &value, const std::string &lease = {})
     {
-        items[key] = {value, ++revision, lease};
-        history.push_back({{key, value, revision}, false});
+        m_items[key] = {value, ++m_revision, lease};
+        m_history.push_back({{key, value, m_revision}, false});
     }
 
     void erase(const std::string &key)
     {
-        if (items.erase(key) > 0)
-            history.push_back({{key, "", ++revision}, true});
+        if (m_items.erase(key) > 0)
+            m_history.push_back({{key, "", ++m_revision}, true});
     }
 
     void forgetHistory()
     {
-        forgotten = revision;
-        history.clear();
+        m_forgotten = m_revision;
+        m_history.clear();
     }
 
     std::int64_t revisionOf(const std::string &key) const
     {
-        const auto found = items.find(key);
-        return found == items.end() ? 0 : found->second.revision;
+        const auto found = m_items.find(key);
+        return found == m_items.end() ? 0 : found->second.revision;
     }
 
     //! How many of the next writes take effect without an answer.
@@ -103,10 +103,10 @@
 
     store::store_reply get(const std::string &key) const
     {
-        const auto found = items.find(key);
+        const auto found = m_items.find(key);
         if (down)
             return {store::store_status::refused, "", 0};
-        if (found == items.end())
+        if (found == m_items.end())
             return {store::store_status::absent, "", 0};
         return {store::store_status::ok, found->second.value, found->second.revision};
     }
@@ -115,8 +115,8 @@
     {
         store::page_reply reply;
         reply.status = status();
-        reply.revision = revision;
-        for (const auto &[key, entry] : items) {
+        reply.revision = m_revision;
+        for (const auto &[key, entry] : m_items) {
             if (key.starts_with(prefix) && key > after)
                 reply.items.push_back({key, entry.value, entry.revision});
         }
@@ -125,7 +125,7 @@
 
     bool hasChanges(const std::string &prefix, std::int64_t after) const
     {
-        for (const store::key_change &change : history) {
+        for (const store::key_change &change : m_history) {
             if (change.item.revision > after && change.item.key.starts_with(prefix))
                 return true;
         }
@@ -135,9 +135,9 @@
     store::watch_reply watch(const std::string &prefix, std::int64_t after) const
     {
         store::watch_reply reply;
-        reply.status = after < forgotten ? store::store_status::conflict : status();
-        reply.revision = revision;
-        for (const store::key_change &change : history) {
+        reply.status = after < m_forgotten ? store::store_status::conflict : status();
+        reply.revision = m_revision;
+        for (const store::key_change &change : m_history) {
             if (change.item.revision > after && change.item.key.starts_with(prefix))
                 reply.changes.push_back(change);
         }
@@ -152,27 +152,27 @@
             if (revisionOf(expected.key) != expected.revision)
                 return {store::store_status::conflict, "", 0};
         }
-        ++revision;
+        ++m_revision;
         for (const store::key_value &put : change.puts) {
-            items[put.key] = {put.value, revision, put.lease};
-            history.push_back({{put.key, put.value, revision}, false});
+            m_items[put.key] = {put.value, m_revision, put.lease};
+            m_history.push_back({{put.key, put.value, m_revision}, false});
         }
         for (const std::string &key : change.removals) {
-            if (items.erase(key) > 0)
-                history.push_back({{key, "", revision}, true});
+            if (m_items.erase(key) > 0)
+                m_history.push_back({{key, "", m_revision}, true});
         }
         if (loseAnswers > 0) {
             --loseAnswers;
             return {store::store_status::unavailable, "", 0};
         }
-        return {store::store_status::ok, "", revision};
+        return {store::store_status::ok, "", m_revision};
     }
 
-    std::map<std::string, entry> items;
-    std::vector<store::key_change> history;
-    std::int64_t revision = 0;
-    std::int64_t forgotten = 0;
-    int leases = 0;
+    std::map<std::string, entry> m_items;
+    std::vector<store::key_change> m_history;
+    std::int64_t m_revision = 0;
+    std::int64_t m_forgotten = 0;
+    int m_leases = 0;
 };
 
 } // namespace almond::fakes
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -17,7 +17,7 @@
 
 constexpr const char *jobId = "00000000000000aa";
 
-class Fleet : public testing::Test
+class fleet_day : public testing::Test
 {
 protected:
     boost::asio::io_context context;
@@ -114,7 +114,7 @@
     return tests::makeJob(jobId, {tests::step(3, 500), second});
 }
 
-TEST_F(Fleet, AJobRunsStepByStepAndIsShownAsCompletedOnce)
+TEST_F(fleet_day, AJobRunsStepByStepAndIsShownAsCompletedOnce)
 {
     takeOffice();
     fleet::caller_service service = callers();
@@ -128,7 +128,7 @@
     expectStartedOnce(5);
 }
 
-TEST_F(Fleet, TheSameJobHandedInAgainStaysOneJob)
+TEST_F(fleet_day, TheSameJobHandedInAgainStaysOneJob)
 {
     takeOffice();
     fleet::caller_service service = callers();
@@ -138,7 +138,7 @@
     expectStartedOnce(3);
 }
 
-TEST_F(Fleet, ASuccessorGoesOnWithoutStartingAnythingTwice)
+TEST_F(fleet_day, ASuccessorGoesOnWithoutStartingAnythingTwice)
 {
     takeOffice();
     fleet::caller_service service = callers();
@@ -155,7 +155,7 @@
     expectStartedOnce(5);
 }
 
-TEST_F(Fleet, AnEndIsAcknowledgedOnlyOnceItIsInTheJournal)
+TEST_F(fleet_day, AnEndIsAcknowledgedOnlyOnceItIsInTheJournal)
 {
     takeOffice();
     fleet::caller_service service = callers();
@@ -171,7 +171,7 @@
     ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 5; }));
 }
 
-TEST_F(Fleet, AStartWhoseAnswerIsLostIsNotRepeatedElsewhere)
+TEST_F(fleet_day, AStartWhoseAnswerIsLostIsNotRepeatedElsewhere)
 {
     workers.loseStartAnswers = 3;
     takeOffice();
@@ -182,7 +182,7 @@
 }
 
 //! The repeated order is refused as obsolete, which says that the run was there, not that it never began.
-TEST_F(Fleet, AStartWhoseAnswerIsLostAndWhoseRunHasEndedIsNotRepeated)
+TEST_F(fleet_day, AStartWhoseAnswerIsLostAndWhoseRunHasEndedIsNotRepeated)
 {
     workers.loseStartAnswers = 3;
     workers.endAtOnce = true;
@@ -193,7 +193,7 @@
     expectStartedOnce(5);
 }
 
-TEST_F(Fleet, ACancelledJobIsStoppedAndStartsNothingMore)
+TEST_F(fleet_day, ACancelledJobIsStoppedAndStartsNothingMore)
 {
     takeOffice();
     fleet::caller_service service = callers();
@@ -210,7 +210,7 @@
     EXPECT_EQ(workers.starts.size(), 3U);
 }
 
-TEST_F(Fleet, CallersAreToldTheTruthWhenTheStoreTurnsThemAway)
+TEST_F(fleet_day, CallersAreToldTheTruthWhenTheStoreTurnsThemAway)
 {
     takeOffice();
     fleet::caller_service service = callers();
@@ -223,7 +223,7 @@
               fleet::call_outcome::absent);
 }
 
-TEST_F(Fleet, NothingStartsInAWithdrawnFailureDomain)
+TEST_F(fleet_day, NothingStartsInAWithdrawnFailureDomain)
 {
     auto closed = tests::fleetConfig();
     closed.withdrawnDomains.insert("west-a");
--- a/tests/unit/owner_election_test.cpp
+++ b/tests/unit/owner_election_test.cpp
@@ -12,7 +12,6 @@
 using namespace almond;
 using kernel::task;
 using store::append_status;
-using store::store_status;
 
 struct meeting
 {
