Stop a run whose start was not answered before its task starts elsewhere, whatever a repeat says

Ruled out: obsolete (mended before), a look sent before the stop. Conclusion: a refusal speaks of its own order only.

--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -125,6 +125,14 @@
         jobs::pace_state pace;
         bool driving = false;
     };
+    //! How far the start of one run has come.
+    struct start_attempt
+    {
+        int number = 0;
+        time_point sentAt{};
+        //! An order without an answer may have been carried out.
+        bool mayHaveArrived = false;
+    };
     using driven_ptr = std::shared_ptr<driven_worker>;
     using self_ptr = std::shared_ptr<job_owner>;
     struct batch
@@ -149,7 +157,7 @@
     std::int64_t pacedMillicores(const driven_worker &worker, const jobs::worker_load &load) const;
     void finishBatch(const batch &next);
     bool takeStartAnswer(driven_worker &worker, const jobs::ledger_record &record,
-                         const jobs::order_answer &answer, int attempt, time_point sentAt);
+                         const jobs::order_answer &answer, const start_attempt &attempt);
     void giveBack(driven_worker &worker, const jobs::ledger_record &record, const std::string &reason);
     void observe(std::vector<jobs::ledger_record> records);
     void stopUnwanted(const driven_ptr &worker);
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -219,7 +219,7 @@
 }
 
 bool job_owner::takeStartAnswer(driven_worker &worker, const ledger_record &record,
-                                const order_answer &answer, int attempt, time_point sentAt)
+                                const order_answer &answer, const start_attempt &attempt)
 {
     const time_point now = m_services.clock();
     jobs::noteAnswer(worker.session, answer, now);
@@ -234,42 +234,45 @@
         return true;
     }
     if (answer.outcome != order_outcome::refused) {
-        jobs::noteSilence(worker.session, sentAt);
+        jobs::noteSilence(worker.session, attempt.sentAt);
         return false;
     }
     if (answer.refusal == order_refusal::fenced) {
         resign("a worker has seen a later term");
         return true;
     }
-    if (answer.refusal == order_refusal::late && attempt < m_services.rules.startAttempts)
-        return false;
     if (answer.refusal == order_refusal::otherLife)
         worker.session.dead = true;
     worker.refusedAt = now;
+    // The refusal is of this order only; an earlier one without an answer may have been carried out.
+    if (attempt.mayHaveArrived && !worker.session.dead)
+        return false;
+    if (answer.refusal == order_refusal::late && attempt.number < m_services.rules.startAttempts)
+        return false;
     giveBack(worker, record, answer.detail);
     return true;
 }
 
 task<void> job_owner::startTask(self_ptr self, driven_ptr worker, ledger_record record)
 {
-    bool mayHaveArrived = false;
-    for (int attempt = 1; !m_over && !worker->session.dead; ++attempt) {
+    start_attempt attempt;
+    for (attempt.number = 1; !m_over && !worker->session.dead; ++attempt.number) {
         if (jobs::assignedRun(m_book, record.worker, record.task) != record.run)
             break;
         const auto owner = m_book.jobs.find(record.task.job);
         const bool wanted = !jobs::isFinal(owner->second.status);
-        const bool exhausted = attempt > m_services.rules.startAttempts;
-        if (!mayHaveArrived && (!wanted || exhausted)) {
+        const bool exhausted = attempt.number > m_services.rules.startAttempts;
+        if (!attempt.mayHaveArrived && (!wanted || exhausted)) {
             giveBack(*worker, record, wanted ? "the worker can't be reached" : "the job has ended");
             co_return;
         }
-        if (mayHaveArrived && (!wanted || exhausted)) {
+        if (attempt.mayHaveArrived && (!wanted || exhausted)) {
             // A run that was stopped before it arrived is refused when it does.
             co_await stopRun(self, worker, record.task, record.run);
             break;
         }
-        const time_point sentAt = m_services.clock();
-        const auto leaseEnd = jobs::nextLeaseEnd(worker->session, m_services.rules.sessions, sentAt);
+        attempt.sentAt = m_services.clock();
+        const auto leaseEnd = jobs::nextLeaseEnd(worker->session, m_services.rules.sessions, attempt.sentAt);
         jobs::noteGrant(worker->session, leaseEnd.value_or(0), m_services.rules.sessions);
         jobs::start_order order;
         order.task = record.task;
@@ -279,8 +282,8 @@
         if (const jobs::task_state *state = jobs::findTask(m_book, record.task))
             order.checkpoint = state->checkpoint;
         const order_answer answer = co_await m_services.workers.start(targetOf(*worker), order);
-        mayHaveArrived = mayHaveArrived || answer.outcome == order_outcome::unknown;
-        if (takeStartAnswer(*worker, record, answer, attempt, sentAt))
+        attempt.mayHaveArrived = attempt.mayHaveArrived || answer.outcome == order_outcome::unknown;
+        if (takeStartAnswer(*worker, record, answer, attempt))
             break;
         co_await kernel::sleepFor(m_services.rules.retryPause);
     }
--- a/tests/fakes/fake_fleet.h
+++ b/tests/fakes/fake_fleet.h
@@ -85,10 +85,14 @@
 
     std::map<std::string, worker_state> workers;
     std::vector<start_seen> starts;
+    //! Starts of a task that was at work on another worker.
+    int startsBesideARun = 0;
     //! Starts that are carried out although their answer is lost.
     int loseStartAnswers = 0;
     //! Runs end well as soon as they start.
     bool endAtOnce = false;
+    //! A repeated order is turned away as from an unhealthy worker, whatever became of the first one.
+    bool refuseRepeats = false;
 
 private:
     jobs::order_answer accepted() const
@@ -122,10 +126,18 @@
             return refused(jobs::order_refusal::fenced);
         const std::string task = jobs::formatTask(order.task);
         run_state &run = workers[target.workerId].runs[task];
+        if (refuseRepeats && run.run == order.run)
+            return refused(jobs::order_refusal::unhealthy);
         if (run.run > order.run || (run.run == order.run && run.ended))
             return refused(jobs::order_refusal::obsolete);
         if (run.run != order.run) {
             run = {order.run, false};
+            for (const auto &[id, state] : workers) {
+                const auto other = state.runs.find(task);
+                const bool itself = id == target.workerId;
+                if (!itself && other != state.runs.end() && !other->second.ended)
+                    ++startsBesideARun;
+            }
             starts.push_back({target.workerId, task, order.run});
             if (endAtOnce)
                 end(target.workerId, task, order.run, jobs::run_end::done);
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -193,6 +193,18 @@
     expectStartedOnce(5);
 }
 
+//! What a worker says of the repeated order holds for that one only: the first may have been carried out.
+TEST_F(fleet_day, ARunWhoseStartWasNotAnsweredIsStoppedBeforeItsTaskStartsElsewhere)
+{
+    workers.loseStartAnswers = 3;
+    workers.refuseRepeats = true;
+    takeOffice();
+    fleet::caller_service service = callers();
+    await(service.submit(twoSteps(), kernel::milliseconds(1000)));
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 6; }));
+    EXPECT_EQ(workers.startsBesideARun, 0);
+}
+
 TEST_F(fleet_day, ACancelledJobIsStoppedAndStartsNothingMore)
 {
     takeOffice();
