Start nothing by a list of workers that may be old

Ruled out: the decoding of draining entries (others were left alone in the same second). Test: NothingStartsByAListOfWorkersThatIsOld. Conclusion: starts need a list confirmed within 1.9 s, as they need a configuration.

--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -139,6 +139,8 @@
     events.removed = [owner, idOf](const std::string &key) { owner->takeWorker(idOf(key), std::nullopt); };
     store::follow_rules rules;
     rules.gatherPause = milliseconds(50);
+    // Each answer confirms the list, which must not grow older than an owner may start by.
+    rules.watchTime = milliseconds(1000);
     auto follower = std::make_shared<store::prefix_follower>(
         m_platform.store, kernel::monotonicNow, m_platform.workersPrefix, rules, std::move(events));
     kernel::spawn(m_context->get_executor(), runFollower(follower));
--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -171,8 +171,7 @@
         observe::log(log_level::info, "job given up: a task failed too often", {{"job", id}});
     }
     jobs::openDueOccurrences(m_book, m_services.unixClock());
-    const milliseconds configAge = now - m_services.configConfirmedAt();
-    if (configAge < m_services.rules.configValidity && !m_book.withWaiting.empty()) {
+    if (mayStart(now) && !m_book.withWaiting.empty()) {
         for (ledger_record &record :
              jobs::planStarts(m_book, *config, m_interference, candidates(now),
                               m_services.rules.startsPerCommit, m_services.unixClock())) {
@@ -188,6 +187,12 @@
     return next;
 }
 
+bool job_owner::mayStart(time_point now) const
+{
+    return now - m_services.configConfirmedAt() < m_services.rules.configValidity
+        && now - m_services.workersConfirmedAt() < m_services.rules.workersValidity;
+}
+
 std::vector<jobs::candidate> job_owner::candidates(time_point now) const
 {
     const jobs::fleet_config_ptr config = m_services.config();
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -47,6 +47,9 @@
     milliseconds refusalPause{1000};
     //! A configuration older than this starts nothing: a failure domain may have been withdrawn.
     milliseconds configValidity{3500};
+    //! A list of workers older than this starts nothing: a worker may have said that it leaves. Must stay
+    //! under the 2 s after which such a worker may get nothing more.
+    milliseconds workersValidity{1900};
     //! A reading of a worker's clock older than this is renewed.
     milliseconds clockValidity{15'000};
     std::size_t startsPerCommit = 400;
@@ -67,6 +70,8 @@
     kernel::clock_source unixClock;
     std::function<jobs::fleet_config_ptr()> config;
     std::function<time_point()> configConfirmedAt;
+    //! When the list of workers was last known to be complete.
+    std::function<time_point()> workersConfirmedAt;
     //! Whether the office was confirmed recently enough to renew the leases of tasks.
     std::function<bool()> mayRenew;
     owner_rules rules;
@@ -153,6 +158,7 @@
     void takeJobKey(const store::stored_item &item);
     void takeCancel(const std::string &id);
     batch prepareBatch(time_point now);
+    bool mayStart(time_point now) const;
     std::vector<jobs::candidate> candidates(time_point now) const;
     std::int64_t pacedMillicores(const driven_worker &worker, const jobs::worker_load &load) const;
     void finishBatch(const batch &next);
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -28,6 +28,7 @@
         = std::make_shared<const jobs::fleet_config>(tests::fleetConfig());
     std::shared_ptr<fleet::job_owner> owner;
     fleet::owner_view view;
+    kernel::milliseconds workersAge{0};
 
     void TearDown() override
     {
@@ -87,6 +88,7 @@
         services.unixClock = kernel::systemNow;
         services.config = [this] { return config; };
         services.configConfirmedAt = kernel::monotonicNow;
+        services.workersConfirmedAt = [this] { return kernel::monotonicNow() - workersAge; };
         services.mayRenew = [] { return true; };
         owner = std::make_shared<fleet::job_owner>(context, std::move(services), *won);
         for (const char *id : {"v", "w"})
@@ -235,6 +237,19 @@
               fleet::call_outcome::absent);
 }
 
+//! A worker may have said that it leaves since the list was last known to be complete.
+TEST_F(fleet_day, NothingStartsByAListOfWorkersThatIsOld)
+{
+    workersAge = kernel::milliseconds(2000);
+    takeOffice();
+    fleet::caller_service service = callers();
+    await(service.submit(twoSteps(), kernel::milliseconds(1000)));
+    runUntil([this] { return owner->counters().looks >= 2 && owner->pendingIn("checks") == 1; });
+    EXPECT_TRUE(workers.starts.empty());
+    workersAge = kernel::milliseconds(0);
+    EXPECT_TRUE(runUntil([this] { return workers.starts.size() == 3; }));
+}
+
 TEST_F(fleet_day, NothingStartsInAWithdrawnFailureDomain)
 {
     auto closed = tests::fleetConfig();
