Wire the age of the workers' list into the node, and run a whole node in a test

Ruled out: the check itself (fleet_test passed: it wires its own owner). The new test Node.ItTakesOfficeStartsAJob... failed without the line and passes with it. Conclusion: what a daemon puts together is now run in a test.

--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -251,6 +251,7 @@
     services.unixClock = kernel::systemNow;
     services.config = [this] { return m_config; };
     services.configConfirmedAt = [this] { return m_operatorKeys->confirmedAt(); };
+    services.workersConfirmedAt = [this] { return m_workerKeys->confirmedAt(); };
     services.mayRenew = [this] { return kernel::monotonicNow() - m_renewedAt < m_election.detachedLimit; };
     services.rules.sessions.lease = m_settings.workerLease;
     services.rules.sessions.detachedRenewals = m_election.detachedLimit;
--- /dev/null
+++ b/tests/unit/node_test.cpp
@@ -0,0 +1,100 @@
+#include "daemon/node_daemon.h"
+#include "tests/fakes/fake_fleet.h"
+#include "tests/fakes/shared_store.h"
+#include "tests/unit/job_fixtures.h"
+
+#include <gtest/gtest.h>
+
+//! A whole node, put together as the daemon does it, with the store and the workers in memory.
+namespace {
+
+using namespace almond;
+using kernel::task;
+
+constexpr const char *jobId = "00000000000000aa";
+
+daemon::node_settings nodeSettings()
+{
+    daemon::node_settings settings;
+    settings.id = "node-1";
+    settings.failureDomain = "west-a";
+    settings.callersAddress = "127.0.0.1:0";
+    settings.readinessAddress = "127.0.0.1:0";
+    settings.operatorAddress = "127.0.0.1:0";
+    settings.peerAddress = "127.0.0.1:23917";
+    settings.storeAddress = "127.0.0.1:1";
+    settings.workerLease = kernel::milliseconds(5400);
+    settings.connections = 100;
+    return settings;
+}
+
+struct node_world
+{
+    boost::asio::io_context context;
+    fakes::shared_store store;
+    fakes::fake_fleet workers;
+    fleet::caller_service *callers = nullptr;
+    std::unique_ptr<daemon::node_daemon> node;
+
+    daemon::platform_binding binding()
+    {
+        daemon::platform_binding binding;
+        binding.store = store.api();
+        binding.workers = workers.port();
+        binding.operatorPrefix = "op/";
+        binding.configKey = "op/config";
+        binding.withdrawnPrefix = "op/withdrawn/";
+        binding.workersPrefix = "workers/";
+        binding.decodeConfig = [](std::string_view) { return std::optional(tests::fleetConfig()); };
+        binding.decodeWorker = [](std::string_view id, std::string_view) {
+            return std::optional(tests::worker(std::string(id)));
+        };
+        binding.callers = [this](fleet::caller_service &service,
+                                 std::function<jobs::fleet_config_ptr()>) -> http::handler {
+            callers = &service;
+            return [](http::request) -> task<http::reply> { co_return http::reply(); };
+        };
+        return binding;
+    }
+
+    void start()
+    {
+        store.put("op/config", "{}");
+        store.put("workers/v", "{}");
+        node = std::make_unique<daemon::node_daemon>(nodeSettings(), binding());
+        node->start(context);
+    }
+
+    bool runUntil(const std::function<bool()> &reached)
+    {
+        constexpr std::chrono::seconds bound{20};
+        const auto end = std::chrono::steady_clock::now() + bound;
+        while (!reached() && std::chrono::steady_clock::now() < end) {
+            context.restart();
+            context.run_one_for(std::chrono::milliseconds(20));
+        }
+        return reached();
+    }
+};
+
+TEST(Node, ItTakesOfficeStartsAJobAndHandsTheOfficeBack)
+{
+    node_world world;
+    world.start();
+    ASSERT_TRUE(world.runUntil([&] { return world.store.revisionOf(fleet::election_key::owner) != 0; }));
+    std::optional<fleet::call_outcome> accepted;
+    boost::asio::co_spawn(
+        world.context,
+        world.callers->submit(tests::makeJob(jobId, {tests::step(2, 500)}), kernel::milliseconds(1000)),
+        [&](const std::exception_ptr &, fleet::call_outcome outcome) { accepted = outcome; });
+    ASSERT_TRUE(world.runUntil([&] { return accepted.has_value(); }));
+    EXPECT_EQ(*accepted, fleet::call_outcome::ok);
+    ASSERT_TRUE(world.runUntil([&] { return world.workers.starts.size() == 2; }));
+    bool stopped = false;
+    boost::asio::co_spawn(world.context, world.node->stop(),
+                          [&](const std::exception_ptr &) { stopped = true; });
+    ASSERT_TRUE(world.runUntil([&] { return world.store.revisionOf(fleet::election_key::owner) == 0; }));
+    EXPECT_TRUE(world.runUntil([&] { return stopped; }));
+}
+
+} // namespace
