--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -117,6 +117,8 @@
     print("Written by `bench/capacity.py` from what `bench/run_all.sh` measured (its output is in `bench/results/`);")
     print("run the latter to make every figure again. One machine, loopback, stand-ins: figures are slopes, taken at")
     print("three or more sizes and carried on in a straight line to the target.\n")
+    print("The jobs of steps and tasks on the users' platform have one owner; its slopes stand in docs/MEASUREMENTS.md and do not carry to")
+    print("the target: 490 workers take 0.276 of a core, so that 13,000 workers need cells, as the scheduler below has them.\n")
     print(f"Target: {WORKERS:,} workers, {TASKS:,} tasks running ({tasks_per_worker:.1f} a worker), {STARTS_PER_S:,} starts a")
     print(f"second, {JOBS_PER_DAY:,} jobs a day, {DOMAINS} failure domains, {TEAMS} teams, {CHANGES_PER_DAY:,} config changes a day.")
     print(f"Settings at the target: {CELLS_PER_DOMAIN} cells a failure domain ({cells} cells of {WORKERS / cells:.0f} workers), {ENTRY_HOSTS} entry hosts")
