Tell interference apart from a serving job's own load, and place by what is assigned

The old fit took the wave for neighbours, and figures that were older than the last starts were trusted. Tests: Interference.PairsAreToldApartWithinSecondsWhileTheLoadOfAJobSwings and four more that name their load. Interference.PairsAreToldApart... keeps its bounds; a sample now belongs to a job, and the constant is the job's.

--- /dev/null
+++ b/bench/jobs_bench.cpp
@@ -0,0 +1,141 @@
+#include "jobs/planner.h"
+#include "jobs/worker_session.h"
+#include "tests/unit/job_fixtures.h"
+
+#include <benchmark/benchmark.h>
+
+//! What one round of planning and one look at a worker cost the owner, by the size of the fleet.
+namespace {
+
+using namespace almond;
+
+constexpr int servingImages = 5;
+constexpr int fillingImages = 9;
+constexpr std::int64_t workerMillicores = 64'000;
+
+std::string jobId(std::int64_t number)
+{
+    std::string digits = std::to_string(number);
+    return std::string(16 - digits.size(), '0') + digits;
+}
+
+std::string workerName(std::int64_t number)
+{
+    return "worker-" + std::to_string(number);
+}
+
+jobs::step_spec servingStep(std::int64_t number)
+{
+    jobs::step_spec serving = tests::step(1, 13'000, 26'000);
+    serving.lasting = true;
+    serving.image = "serving-image-" + std::to_string(number % servingImages);
+    serving.tailTarget = kernel::milliseconds(50);
+    return serving;
+}
+
+jobs::step_spec fillingStep(std::int64_t number, std::uint32_t count)
+{
+    jobs::step_spec filling = tests::step(count, 7000, 13'000);
+    filling.fills = true;
+    filling.image = "filling-image-" + std::to_string(number % fillingImages);
+    filling.declaredDuration = kernel::milliseconds(1700);
+    return filling;
+}
+
+//! A fleet in which each worker runs one serving task and one that fills, and a backlog of jobs.
+struct busy_fleet
+{
+    jobs::ledger book;
+    jobs::fleet_config config = tests::fleetConfig();
+    jobs::interference_view interference;
+    std::vector<jobs::worker_session> sessions;
+
+    busy_fleet(std::int64_t workers, std::int64_t backlog)
+    {
+        for (std::int64_t number = 0; number < workers; ++number) {
+            jobs::worker_info info
+                = tests::worker(workerName(number), workerMillicores, "rack-" + std::to_string(number / 12));
+            info.capacity.memoryMb = 250'000;
+            sessions.push_back(jobs::openSession(info, {}));
+            addRunning(sessions.back(), number);
+        }
+        for (std::int64_t number = 0; number < backlog; ++number) {
+            const std::string id = jobId(workers + number);
+            const bool fills = number % 2 == 0;
+            jobs::step_spec step = fills ? fillingStep(number, 20) : tests::step(10, 60'000, 8000);
+            jobs::addJob(book, tests::makeJob(id, {step}, fills ? "reviews" : "checks"));
+        }
+    }
+
+    void addRunning(jobs::worker_session &session, std::int64_t number)
+    {
+        const std::string id = jobId(number);
+        jobs::addJob(book, tests::makeJob(id, {servingStep(number), fillingStep(number, 1)}));
+        for (std::uint32_t step = 0; step < 2; ++step) {
+            jobs::apply(book, tests::started({id, 0, step, 0}, 1, session.incarnation));
+            session.running.push_back({{id, 0, step, 0}, 1, "", 50, step == 0 ? 40 : 7000});
+        }
+    }
+
+    std::vector<jobs::candidate> candidates() const
+    {
+        std::vector<jobs::candidate> result;
+        for (const jobs::worker_session &session : sessions) {
+            const jobs::worker_load &load = book.loads.find(session.incarnation)->second;
+            result.push_back(jobs::makeCandidate(session.info, &load));
+            result.back().serving = jobs::servingViews(interference.model, interference.rules, load,
+                                                       session.info.capacity, jobs::pace_state{}, {});
+        }
+        return result;
+    }
+};
+
+//! One round of planning with a backlog of range(1) jobs over range(0) workers.
+void planRound(benchmark::State &state)
+{
+    const busy_fleet fleet(state.range(0), state.range(1));
+    std::size_t planned = 0;
+    for (auto _ : state) {
+        const auto records
+            = jobs::planStarts(fleet.book, fleet.config, fleet.interference, fleet.candidates(), 400, {});
+        planned = records.size();
+        benchmark::DoNotOptimize(records);
+    }
+    state.counters["starts"] = static_cast<double>(planned);
+}
+BENCHMARK(planRound)
+    ->Args({66, 20})
+    ->Args({350, 20})
+    ->Args({350, 100})
+    ->Args({490, 100})
+    ->Unit(benchmark::kMicrosecond);
+
+//! The candidates alone.
+void gatherCandidates(benchmark::State &state)
+{
+    const busy_fleet fleet(state.range(0), 0);
+    for (auto _ : state)
+        benchmark::DoNotOptimize(fleet.candidates());
+}
+BENCHMARK(gatherCandidates)->Arg(66)->Arg(350)->Arg(490)->Unit(benchmark::kMicrosecond);
+
+//! Taking one answer of a worker with two running tasks, with learning and the decision on paces.
+void takeAnswer(benchmark::State &state)
+{
+    busy_fleet fleet(350, 0);
+    jobs::worker_session &session = fleet.sessions.front();
+    jobs::look_answer answer;
+    answer.result.outcome = jobs::order_outcome::accepted;
+    answer.running = session.running;
+    jobs::pace_state pace;
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(jobs::takeLook(session, answer, fleet.book, {}, {}));
+        jobs::learn(fleet.interference.model, pace, fleet.interference.rules, fleet.book,
+                    session.info.capacity, session.running, {});
+        benchmark::DoNotOptimize(jobs::decidePaces(pace, fleet.interference.model, fleet.interference.rules,
+                                                   fleet.book, session.info.capacity, session.running, {}));
+    }
+}
+BENCHMARK(takeAnswer)->Unit(benchmark::kMicrosecond);
+
+} // namespace
--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -207,10 +207,11 @@
         const auto load = m_book.loads.find(incarnation);
         usable.push_back(
             jobs::makeCandidate(session.info, load == m_book.loads.end() ? nullptr : &load->second));
-        if (load != m_book.loads.end())
-            usable.back().spareMillicores += pacedMillicores(*worker, load->second);
-        usable.back().serving
-            = jobs::servingViews(m_interference.model, m_interference.rules, m_book, session.running);
+        if (load == m_book.loads.end())
+            continue;
+        usable.back().spareMillicores += pacedMillicores(*worker, load->second);
+        usable.back().serving = jobs::servingViews(m_interference.model, m_interference.rules, load->second,
+                                                   session.info.capacity, worker->pace, now);
     }
     return usable;
 }
@@ -298,7 +299,8 @@
         if (!m_book.withWaiting.empty() || !m_book.timers.empty())
             m_commitSignal.wake();
         if (now - m_modelRefreshedAt > m_services.rules.modelInterval) {
-            jobs::refreshModel(m_interference.model, m_interference.rules.learning);
+            jobs::refreshModel(m_interference.model, m_interference.rules.learning,
+                               now - m_services.rules.loadValidity);
             m_modelRefreshedAt = now;
         }
         co_await kernel::sleepFor(m_services.rules.tickInterval);
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -55,6 +55,8 @@
     std::size_t startsPerCommit = 400;
     //! Time between two refreshes of what is learned of interference.
     milliseconds modelInterval{500};
+    //! What is known of a serving job's load is forgotten when no figure has come for this long.
+    milliseconds loadValidity{10'000};
     jobs::session_rules sessions;
 };
 
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -151,7 +151,7 @@
     const std::vector<jobs::running_report> &running = worker->session.running;
     const jobs::interference_rules &rules = m_interference.rules;
     const jobs::resources &capacity = worker->session.info.capacity;
-    jobs::learn(m_interference.model, rules, m_book, capacity, running);
+    jobs::learn(m_interference.model, worker->pace, rules, m_book, capacity, running, now);
     for (const jobs::pace_order &order :
          jobs::decidePaces(worker->pace, m_interference.model, rules, m_book, capacity, running, now)) {
         observe::log(log_level::info, "pace of a filling task changed",
--- a/src/jobs/interference.cpp
+++ b/src/jobs/interference.cpp
@@ -1,6 +1,7 @@
 #include "jobs/interference.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace almond::jobs {
 
@@ -10,7 +11,7 @@
 struct filling_row
 {
     const running_report *row = nullptr;
-    const step_spec *spec = nullptr;
+    image_number image = 0;
     //! Cores in use, and cores at full pace, as the model counts them.
     double used = 0.0;
     double wanted = 0.0;
@@ -20,22 +21,40 @@
 struct tightest_task
 {
     double slack = 0.0;
-    std::string image;
+    image_number image = 0;
 };
 
-std::vector<filling_row> fillingRows(const ledger &book, const resources &capacity,
-                                     std::span<const running_report> running)
+std::optional<image_number> knownNumber(const interference_model &model, std::string_view image)
+{
+    const auto known = model.numbers.find(image);
+    return known == model.numbers.end() ? std::nullopt : std::optional(known->second);
+}
+
+std::vector<filling_row> fillingRows(const interference_model &model, const ledger &book,
+                                     const resources &capacity, std::span<const running_report> running)
 {
     std::vector<filling_row> rows;
     for (const running_report &row : running) {
         const step_spec *spec = findStep(book, row.task);
-        if (spec && spec->fills)
-            rows.push_back({&row, spec, modelCores(row.figure, capacity),
+        if (!spec || !spec->fills)
+            continue;
+        if (const auto image = knownNumber(model, spec->image))
+            rows.push_back({&row, *image, modelCores(row.figure, capacity),
                             modelCores(spec->demand.millicores, capacity)});
     }
     return rows;
 }
 
+void addCores(cores_by_image &cores, image_number image, double amount)
+{
+    const auto place = std::lower_bound(cores.begin(), cores.end(), image,
+                                        [](const auto &entry, image_number key) { return entry.first < key; });
+    if (place != cores.end() && place->first == image)
+        place->second += amount;
+    else
+        cores.emplace(place, image, amount);
+}
+
 bool serves(const step_spec *spec)
 {
     return spec && spec->lasting && spec->tailTarget.count() > 0;
@@ -52,17 +71,18 @@
     return pacePercent(pace, row.task, row.run);
 }
 
-tightest_task findTightest(const ledger &book, const interference_rules &rules,
-                           std::span<const running_report> running)
+tightest_task findTightest(const interference_model &model, const ledger &book,
+                           const interference_rules &rules, std::span<const running_report> running)
 {
-    tightest_task tightest{rules.largestSlack, {}};
+    tightest_task tightest{rules.largestSlack, 0};
     for (const running_report &row : running) {
         const step_spec *spec = findStep(book, row.task);
         if (!serves(spec) || row.figure <= 0)
             continue;
         const double slack = slackOf(*spec, row, rules);
-        if (slack < tightest.slack)
-            tightest = {slack, spec->image};
+        const auto image = knownNumber(model, spec->image);
+        if (image && slack < tightest.slack)
+            tightest = {slack, *image};
     }
     return tightest;
 }
@@ -80,7 +100,7 @@
     double fullCost(const filling_row &neighbour) const
     {
         const double cores = std::max(neighbour.used, neighbour.wanted / 2);
-        return cores * slackPerCore(model, rules.learning, tightest.image, neighbour.spec->image);
+        return cores * slackPerCore(model, rules.learning, tightest.image, neighbour.image);
     }
 
     void tell(const running_report &row, int percent)
@@ -178,32 +198,51 @@
 }
 
 std::vector<serving_view> servingViews(const interference_model &model, const interference_rules &rules,
-                                       const ledger &book, std::span<const running_report> running)
+                                       const worker_load &load, const resources &capacity,
+                                       const pace_state &pace, time_point now)
 {
+    cores_by_image cores;
+    for (const auto &[image, millicores] : load.fillingByImage) {
+        if (const auto number = knownNumber(model, image))
+            addCores(cores, *number, modelCores(millicores, capacity));
+    }
     std::vector<serving_view> views;
-    for (const running_report &row : running) {
-        const step_spec *spec = findStep(book, row.task);
-        if (serves(spec))
-            views.push_back({spec->image,
-                             row.figure > 0 ? slackOf(*spec, row, rules)
-                                            : freeSlack(model, rules.learning, spec->image)});
+    for (const auto &[task, image] : load.serving) {
+        const auto number = knownNumber(model, image);
+        if (!number)
+            continue;
+        const auto shortfall = pace.shortfall.find(task);
+        const double unexplained = shortfall == pace.shortfall.end() ? 0.0 : shortfall->second;
+        const double free = freeSlack(model, rules.learning, task.job, now, rules.horizon);
+        views.push_back({*number, free - unexplained - slackTaken(model, rules.learning, *number, cores)});
     }
     return views;
 }
 
-void learn(interference_model &model, const interference_rules &rules, const ledger &book,
-           const resources &capacity, std::span<const running_report> running)
+void learn(interference_model &model, pace_state &pace, const interference_rules &rules, const ledger &book,
+           const resources &capacity, std::span<const running_report> running, time_point now)
 {
-    std::map<std::string, double> cores;
-    for (const filling_row &neighbour : fillingRows(book, capacity, running))
-        cores[neighbour.spec->image] += neighbour.used;
+    cores_by_image cores;
     for (const running_report &row : running) {
         const step_spec *spec = findStep(book, row.task);
-        if (!serves(spec) || row.figure <= 0)
+        if (spec && spec->fills)
+            addCores(cores, numberOf(model, spec->image), modelCores(row.figure, capacity));
+    }
+    pace.shortfall.clear();
+    for (const running_report &row : running) {
+        const step_spec *spec = findStep(book, row.task);
+        if (!serves(spec))
+            continue;
+        const image_number image = numberOf(model, spec->image);
+        if (row.figure <= 0)
             continue;
         const double slack = slackOf(*spec, row, rules);
+        const double expected = freeSlack(model, rules.learning, row.task.job, now, milliseconds(0))
+            - slackTaken(model, rules.learning, image, cores);
+        if (expected - slack > rules.ordinaryStray)
+            pace.shortfall[row.task] = expected - slack - rules.ordinaryStray;
         if (slack > rules.smallestSlack)
-            addSample(model, spec->image, slack, cores);
+            addSample(model, rules.learning, row.task.job, image, slack, cores, now);
     }
 }
 
@@ -212,12 +251,12 @@
                                     const resources &capacity, std::span<const running_report> running,
                                     time_point now)
 {
-    const std::vector<filling_row> neighbours = fillingRows(book, capacity, running);
+    const std::vector<filling_row> neighbours = fillingRows(model, book, capacity, running);
     forgetEnded(pace, neighbours);
     const milliseconds tooSlow = updateTooSlow(pace, rules, book, running, now);
     if (neighbours.empty() || (pace.changedAt != time_point{} && now - pace.changedAt < rules.settle))
         return {};
-    const tightest_task tightest = findTightest(book, rules, running);
+    const tightest_task tightest = findTightest(model, book, rules, running);
     pace_change change{pace, model, rules, tightest, {}};
     if (tooSlow >= rules.haltAfter)
         change.halt(neighbours);
--- a/src/jobs/interference.h
+++ b/src/jobs/interference.h
@@ -24,38 +24,36 @@
     double aimedSlack = 1.2;
     //! Above this slack neighbours may go faster.
     double calmSlack = 1.3;
-    //! A task that fills is placed only where this slack is expected to remain.
-    double placementSlack = 1.1;
-    //! A neighbour that takes less slack than this is not worth slowing.
-    double negligibleSlack = 0.03;
+    //! A task that fills is placed only where this slack is expected to remain, and as much again as it takes:
+    //! what takes much is also misjudged by much.
+    double placementSlack = 1.05;
+    //! Slack that the figures of one task stray from its job's without a cause of its own.
+    double ordinaryStray = 0.4;
+    //! A neighbour that takes less slack than this is harmless: it may be placed anywhere and is not slowed.
+    double negligibleSlack = 0.08;
+    //! How far ahead the load of serving tasks is foreseen; about as long as a task that fills works.
+    milliseconds horizon{3000};
     //! Time between two changes at a worker: a change must show in figures that cover half a second.
     milliseconds settle{600};
     //! A serving task may be too slow for this long before its neighbours are slowed: most of them end sooner
     //! by themselves.
     milliseconds patience{1200};
-    //! After this long all of its neighbours are halted, whatever the model says of them. With the late
-    //! figures it must stay under the users' harm bound of 4 s.
+    //! After a serving task was too slow for this long all of its neighbours are halted, whatever the model
+    //! says of them. With the late figures it must stay under the users' harm bound of 4 s.
     milliseconds haltAfter{2000};
 };
 
-//! A serving task on a worker, as it was last seen.
+//! A serving task on a worker.
 struct serving_view
 {
-    std::string image;
+    image_number image = 0;
+    //! Least slack that it is expected to have soon beside all that is assigned to the worker.
     double slack = 0.0;
 };
 
 //! Cores of a worker with \a capacity as the model counts them.
 double modelCores(std::int64_t millicores, const resources &capacity);
 
-//! The serving tasks among \a running; one without a figure yet gets the model's expectation.
-std::vector<serving_view> servingViews(const interference_model &model, const interference_rules &rules,
-                                       const ledger &book, std::span<const running_report> running);
-
-//! Adds the figures of one look at a worker to the model's samples.
-void learn(interference_model &model, const interference_rules &rules, const ledger &book,
-           const resources &capacity, std::span<const running_report> running);
-
 //! The paces of the tasks that fill on one worker.
 struct pace_state
 {
@@ -64,8 +62,20 @@
     std::map<std::pair<task_name, std::uint32_t>, int> told;
     //! Since when a serving task has been too slow.
     std::map<task_name, time_point> tooSlowSince;
+    //! How much less slack a serving task was seen with than the model explains.
+    std::map<task_name, double> shortfall;
 };
 
+//! The serving tasks that \a load names, as they are expected to stand beside all that fills there.
+std::vector<serving_view> servingViews(const interference_model &model, const interference_rules &rules,
+                                       const worker_load &load, const resources &capacity,
+                                       const pace_state &pace, time_point now);
+
+//! Adds the figures of one look at a worker to the model's samples, and notes in \a pace what they leave
+//! unexplained.
+void learn(interference_model &model, pace_state &pace, const interference_rules &rules, const ledger &book,
+           const resources &capacity, std::span<const running_report> running, time_point now);
+
 //! One order that changes the pace of a run.
 struct pace_order
 {
--- a/src/jobs/interference_model.cpp
+++ b/src/jobs/interference_model.cpp
@@ -2,14 +2,27 @@
 
 #include <algorithm>
 #include <cmath>
-#include <vector>
 
 namespace almond::jobs {
 
+using kernel::milliseconds;
+using kernel::time_point;
+
 namespace {
 
-//! Name under which the constant of a fit stands.
-const std::string constantName;
+//! Samples that a job's averages need before another one is compared with them.
+constexpr double comparableWeight = 2.0;
+
+double secondsOf(milliseconds span)
+{
+    constexpr double perSecond = 1000.0;
+    return static_cast<double>(span.count()) / perSecond;
+}
+
+double retained(time_point since, time_point now, milliseconds memory)
+{
+    return std::exp(-secondsOf(std::max(now - since, milliseconds(0))) / secondsOf(memory));
+}
 
 //! Solves the linear system of \a rows, each with its right side at the end, by elimination with pivoting.
 std::vector<double> solve(std::vector<std::vector<double>> rows)
@@ -36,68 +49,156 @@
     return solution;
 }
 
-void solveFit(interference_model &model, const learning_rules &rules, const std::string &serving,
-              const image_fit &fit)
+void solveFit(image_fit &fit, const learning_rules &rules)
 {
-    std::vector<std::string> names;
-    for (const auto &[name, sum] : fit.targets)
-        names.push_back(name);
-    std::vector<std::vector<double>> rows(names.size(), std::vector<double>(names.size() + 1, 0.0));
-    for (std::size_t row = 0; row < names.size(); ++row) {
-        for (std::size_t column = 0; column < names.size(); ++column) {
-            const auto product = fit.products.find({names[row], names[column]});
+    std::vector<image_number> images;
+    for (const auto &[image, sum] : fit.targets)
+        images.push_back(image);
+    std::vector<std::vector<double>> rows(images.size(), std::vector<double>(images.size() + 1, 0.0));
+    for (std::size_t row = 0; row < images.size(); ++row) {
+        for (std::size_t column = 0; column < images.size(); ++column) {
+            const auto product = fit.products.find({images[row], images[column]});
             rows[row][column] = product == fit.products.end() ? 0.0 : product->second;
         }
-        const double prior = names[row] == constantName ? rules.priorFreeSlack : -rules.priorSlackPerCore;
         rows[row][row] += rules.priorWeight;
-        rows[row][names.size()] = fit.targets.at(names[row]) + rules.priorWeight * prior;
+        rows[row][images.size()] = fit.targets.at(images[row]) - rules.priorWeight * rules.priorSlackPerCore;
     }
     const std::vector<double> weights = solve(std::move(rows));
-    for (std::size_t index = 0; index < names.size(); ++index) {
-        if (names[index] == constantName)
-            model.freeSlack[serving] = std::max(weights[index], 1.0);
-        else
-            model.slackPerCore[{serving, names[index]}] = std::max(-weights[index], 0.0);
+    for (std::size_t index = 0; index < images.size(); ++index)
+        fit.slackPerCore[images[index]] = std::max(-weights[index], 0.0);
+}
+
+//! Subtracts or averages lists of cores: the result is left * leftFactor + right * rightFactor.
+cores_by_image combine(const cores_by_image &left, double leftFactor, const cores_by_image &right,
+                       double rightFactor)
+{
+    cores_by_image result;
+    auto first = left.begin();
+    auto second = right.begin();
+    while (first != left.end() || second != right.end()) {
+        const bool onlyLeft = second == right.end() || (first != left.end() && first->first < second->first);
+        const bool onlyRight = first == left.end() || (second != right.end() && second->first < first->first);
+        const image_number image = onlyRight ? second->first : first->first;
+        const double amount = (onlyRight ? 0.0 : first->second * leftFactor)
+            + (onlyLeft ? 0.0 : second->second * rightFactor);
+        result.emplace_back(image, amount);
+        first += onlyRight ? 0 : 1;
+        second += onlyLeft ? 0 : 1;
     }
+    return result;
+}
+
+//! Adds how a sample differs from its job's averages to the fit.
+void addContrast(image_fit &fit, double slack, const cores_by_image &cores)
+{
+    for (const auto &[image, amount] : cores) {
+        fit.targets[image] += amount * slack;
+        for (const auto &[other, otherAmount] : cores)
+            fit.products[{image, other}] += amount * otherAmount;
+    }
+}
+
+void updateAverages(job_load &load, double kept, double slack, const cores_by_image &cores)
+{
+    constexpr double negligibleCores = 1e-3;
+    load.weight = load.weight * kept + 1.0;
+    const double share = 1.0 / load.weight;
+    load.meanSlack += (slack - load.meanSlack) * share;
+    load.meanCores = combine(load.meanCores, 1.0 - share, cores, share);
+    std::erase_if(load.meanCores, [](const auto &entry) { return entry.second < negligibleCores; });
 }
 
 } // namespace
 
-void addSample(interference_model &model, const std::string &serving, double slack,
-               const std::map<std::string, double> &cores)
+image_number numberOf(interference_model &model, std::string_view image)
 {
-    image_fit &fit = model.fits[serving];
-    std::map<std::string, double> inputs = cores;
-    inputs[constantName] = 1.0;
-    for (const auto &[left, amount] : inputs) {
-        fit.targets[left] += amount * slack;
-        for (const auto &[right, other] : inputs)
-            fit.products[{left, right}] += amount * other;
-    }
+    const auto known = model.numbers.find(image);
+    if (known != model.numbers.end())
+        return known->second;
+    const auto number = static_cast<image_number>(model.numbers.size());
+    model.numbers.emplace(image, number);
+    model.fits.resize(model.numbers.size());
+    return number;
+}
+
+void addSample(interference_model &model, const learning_rules &rules, std::string_view job,
+               image_number serving, double slack, const cores_by_image &cores, time_point now)
+{
+    auto place = model.loads.find(job);
+    if (place == model.loads.end())
+        place = model.loads.emplace(std::string(job), job_load{}).first;
+    job_load &load = place->second;
+    const double kept = retained(load.at, now, rules.loadMemory);
+    if (load.weight * kept >= comparableWeight)
+        addContrast(model.fits.at(serving), slack - load.meanSlack,
+                    combine(cores, 1.0, load.meanCores, -1.0));
+    updateAverages(load, kept, slack, cores);
+    load.at = now;
+    addPoint(load.freeSlack, slack + slackTaken(model, rules, serving, cores), now, rules.loadMemory);
 }
 
-void refreshModel(interference_model &model, const learning_rules &rules)
+void refreshModel(interference_model &model, const learning_rules &rules, time_point oldest)
 {
-    for (auto &[serving, fit] : model.fits) {
-        solveFit(model, rules, serving, fit);
-        for (auto &[names, sum] : fit.products)
+    for (image_fit &fit : model.fits) {
+        if (fit.targets.empty())
+            continue;
+        solveFit(fit, rules);
+        for (auto &[images, sum] : fit.products)
             sum *= rules.retention;
-        for (auto &[name, sum] : fit.targets)
+        for (auto &[image, sum] : fit.targets)
             sum *= rules.retention;
     }
+    std::erase_if(model.loads, [oldest](const auto &entry) { return entry.second.at < oldest; });
+}
+
+double slackPerCore(const interference_model &model, const learning_rules &rules, image_number serving,
+                    image_number filling)
+{
+    const auto &known = model.fits.at(serving).slackPerCore;
+    const auto found = known.find(filling);
+    return found == known.end() ? rules.priorSlackPerCore : found->second;
+}
+
+double slackTaken(const interference_model &model, const learning_rules &rules, image_number serving,
+                  const cores_by_image &cores)
+{
+    double taken = 0.0;
+    for (const auto &[filling, amount] : cores)
+        taken += amount * slackPerCore(model, rules, serving, filling);
+    return taken;
+}
+
+double freeSlack(const interference_model &model, const learning_rules &rules, std::string_view job,
+                 time_point now, milliseconds horizon)
+{
+    const auto load = model.loads.find(job);
+    if (load == model.loads.end())
+        return rules.priorFreeSlack;
+    return std::min(valueAt(load->second.freeSlack, rules.steadyWeight, now),
+                    valueAt(load->second.freeSlack, rules.steadyWeight, now + horizon));
 }
 
-double slackPerCore(const interference_model &model, const learning_rules &rules, const std::string &serving,
-                    const std::string &filling)
+void addPoint(trend_line &line, double value, time_point now, milliseconds memory)
 {
-    const auto known = model.slackPerCore.find({serving, filling});
-    return known == model.slackPerCore.end() ? rules.priorSlackPerCore : known->second;
+    const double passed = line.weight > 0.0 ? secondsOf(now - line.at) : 0.0;
+    const double kept = line.weight > 0.0 ? retained(line.at, now, memory) : 0.0;
+    line.meanTime -= passed; // times are relative to the newest point
+    line.weight = line.weight * kept + 1.0;
+    line.timeSquares *= kept;
+    line.timeValues *= kept;
+    const double timeOff = -line.meanTime;
+    const double valueOff = value - line.meanValue;
+    line.meanTime += timeOff / line.weight;
+    line.meanValue += valueOff / line.weight;
+    line.timeSquares += timeOff * -line.meanTime;
+    line.timeValues += timeOff * (value - line.meanValue);
+    line.at = now;
 }
 
-double freeSlack(const interference_model &model, const learning_rules &rules, const std::string &serving)
+double valueAt(const trend_line &line, double steadyWeight, time_point when)
 {
-    const auto known = model.freeSlack.find(serving);
-    return known == model.freeSlack.end() ? rules.priorFreeSlack : known->second;
+    const double slope = line.timeValues / (line.timeSquares + steadyWeight);
+    return line.meanValue + slope * (secondsOf(when - line.at) - line.meanTime);
 }
 
 } // namespace almond::jobs
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -69,10 +69,13 @@
     resources firm = spec.demand;
     if (spec.fills) {
         load.fillMillicores += firm.millicores;
+        load.fillingByImage[spec.image] += firm.millicores;
         firm.millicores = 0;
     }
     if (spec.lasting)
         load.servingMillicores += firm.millicores;
+    if (spec.lasting && spec.tailTarget.count() > 0)
+        load.serving[name] = spec.image;
     load.firm = load.firm + firm;
     load.runs[name] = run;
 }
@@ -86,10 +89,12 @@
     resources firm = spec.demand;
     if (spec.fills) {
         load.fillMillicores -= firm.millicores;
+        load.fillingByImage[spec.image] -= firm.millicores;
         firm.millicores = 0;
     }
     if (spec.lasting)
         load.servingMillicores -= firm.millicores;
+    load.serving.erase(name);
     load.firm = load.firm - firm;
     if (load.runs.empty())
         book.loads.erase(found);
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -60,6 +60,10 @@
     std::int64_t servingMillicores = 0;
     //! Assigned tasks and their runs.
     std::map<task_name, std::uint32_t> runs;
+    //! Processor time of the tasks that fill, by image.
+    std::map<std::string, std::int64_t, std::less<>> fillingByImage;
+    //! Images of the tasks that serve users and have a bound on their response times.
+    std::map<task_name, std::string> serving;
 };
 
 enum class record_kind { started, ended, gaveUp };
--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <tuple>
 
 namespace almond::jobs {
@@ -53,6 +54,9 @@
     return ready;
 }
 
+//! What decides where a task may go, but for its size.
+using task_kind = std::tuple<std::string_view, std::string_view, std::string_view, bool>;
+
 //! A round of planning: candidates shrink as tasks are placed.
 struct round_state
 {
@@ -62,6 +66,8 @@
     //! Tasks placed in this round on each candidate, by step.
     std::map<std::pair<std::string, task_name>, std::uint32_t> placed;
     std::vector<ledger_record> records;
+    //! Kinds of tasks that found no room in this round, with the least demand that did not fit.
+    std::map<task_kind, resources> hopeless;
 };
 
 task_name firstOf(const ready_step &step)
@@ -96,93 +102,140 @@
     return hasSpare && fits(firm, worker.available);
 }
 
-//! Slack that one more task of \a spec takes from \a serving on \a worker.
-double slackTaken(const interference_view &interference, const candidate &worker, const serving_view &serving,
-                  const step_spec &spec)
+//! What a step asks of a candidate, looked up once.
+struct placing
+{
+    const ready_step *step = nullptr;
+    const step_spec *spec = nullptr;
+    task_name first;
+    //! Empty for an image that has not been seen at work.
+    std::optional<image_number> image;
+};
+
+placing placingOf(const round_state &round, const ready_step &step)
 {
-    return modelCores(spec.demand.millicores, worker.info.capacity)
-        * slackPerCore(interference.model, interference.rules.learning, serving.image, spec.image);
+    const step_spec &spec = step.owner->spec.steps[step.step];
+    const auto known = round.interference.model.numbers.find(spec.image);
+    placing result{&step, &spec, firstOf(step), {}};
+    if (known != round.interference.model.numbers.end())
+        result.image = known->second;
+    return result;
 }
 
-//! The least slack that a serving task on \a worker would have beside one more task of \a spec.
-double slackBeside(const round_state &round, const candidate &worker, const step_spec &spec)
+//! Slack that one more task takes from \a serving on \a worker.
+double slackTakenBy(const round_state &round, const candidate &worker, const serving_view &serving,
+                    const placing &task)
+{
+    const interference_view &known = round.interference;
+    const double perCore = task.image
+        ? slackPerCore(known.model, known.rules.learning, serving.image, *task.image)
+        : known.rules.learning.priorSlackPerCore;
+    return modelCores(task.spec->demand.millicores, worker.info.capacity) * perCore;
+}
+
+//! The least slack that a serving task on \a worker would have beside one more task that takes twice what is
+//! known of it. Serving tasks to which it is harmless don't count.
+double slackBeside(const round_state &round, const candidate &worker, const placing &task)
 {
     double least = round.interference.rules.largestSlack;
-    for (const serving_view &serving : worker.serving)
-        least = std::min(least, serving.slack - slackTaken(round.interference, worker, serving, spec));
+    for (const serving_view &serving : worker.serving) {
+        const double taken = slackTakenBy(round, worker, serving, task);
+        if (taken > round.interference.rules.negligibleSlack)
+            least = std::min(least, serving.slack - 2.0 * taken);
+    }
     return least;
 }
 
-bool mayRun(const round_state &round, const candidate &worker, const ready_step &step, const step_spec &spec)
+bool mayRun(const round_state &round, const candidate &worker, const placing &task)
 {
-    if (worker.info.service != step.queue->service || !hasRoom(worker, spec))
+    const step_spec &spec = *task.spec;
+    if (!hasRoom(worker, spec) || worker.info.service != task.step->queue->service)
         return false;
     if (worker.reserved && !spec.lasting && !spec.fills)
         return false;
     if (!spec.requiredLabel.empty() && !hasLabel(worker.info, spec.requiredLabel))
         return false;
-    if (spec.fills && slackBeside(round, worker, spec) < round.interference.rules.placementSlack)
-        return false;
-    return spec.perWorkerLimit == 0 || tasksOfStep(round, worker, firstOf(step)) < spec.perWorkerLimit;
+    return spec.perWorkerLimit == 0 || tasksOfStep(round, worker, task.first) < spec.perWorkerLimit;
+}
+
+//! Serving tasks of other images on \a worker.
+std::ptrdiff_t otherImages(const candidate &worker, const placing &task)
+{
+    return std::count_if(worker.serving.begin(), worker.serving.end(), [&task](const serving_view &serving) {
+        return !task.image || serving.image != *task.image;
+    });
 }
 
-//! Higher is better. Firm tasks are packed so that large ones still find room; those that fill go where they
-//! disturb the least.
-double preference(const round_state &round, const candidate &worker, const step_spec &spec)
+//! Higher is better; empty for a worker that can't take the task. Firm tasks are packed so that large ones
+//! still find room. Tasks that serve gather by image, so that what disturbs one image finds workers without
+//! it. Tasks that fill go where they disturb the least.
+std::optional<double> preference(const round_state &round, const candidate &worker, const placing &task)
 {
+    constexpr double farFromData = 1e9;
+    constexpr double besideOtherImage = 1e6;
+    const step_spec &spec = *task.spec;
+    if (!mayRun(round, worker, task))
+        return std::nullopt;
     const bool nearData = spec.dataRack.empty() || hasLabel(worker.info, spec.dataRack);
-    const double locality = nearData ? 0.0 : -1e9;
-    if (spec.fills)
-        return locality + slackBeside(round, worker, spec)
-            + static_cast<double>(worker.spareMillicores)
-            / static_cast<double>(std::max<std::int64_t>(worker.info.capacity.millicores, 1));
-    return locality - static_cast<double>(worker.available.millicores - spec.demand.millicores);
+    const double locality = nearData ? 0.0 : -farFromData;
+    if (!spec.fills) {
+        const double mixed = spec.lasting && spec.tailTarget.count() > 0
+            ? besideOtherImage * static_cast<double>(otherImages(worker, task))
+            : 0.0;
+        return locality - mixed - static_cast<double>(worker.available.millicores - spec.demand.millicores);
+    }
+    const double slack = slackBeside(round, worker, task);
+    if (slack < round.interference.rules.placementSlack)
+        return std::nullopt;
+    return locality + slack
+        + static_cast<double>(worker.spareMillicores)
+        / static_cast<double>(std::max<std::int64_t>(worker.info.capacity.millicores, 1));
 }
 
-//! Index of the best candidate on \a rack (any when empty) for one task of \a step, or -1.
-std::ptrdiff_t chooseCandidate(const round_state &round, const ready_step &step, std::string_view rack)
+//! Index of the best candidate on \a rack (any when empty) for one task, or -1.
+std::ptrdiff_t chooseCandidate(const round_state &round, const placing &task, std::string_view rack)
 {
-    const step_spec &spec = step.owner->spec.steps[step.step];
     std::ptrdiff_t best = -1;
     double bestValue = -std::numeric_limits<double>::infinity();
     for (std::size_t index = 0; index < round.candidates.size(); ++index) {
         const candidate &worker = round.candidates[index];
-        if ((!rack.empty() && worker.info.rack != rack) || !mayRun(round, worker, step, spec))
+        if (!rack.empty() && worker.info.rack != rack)
             continue;
-        const double value = preference(round, worker, spec);
-        if (value > bestValue) {
+        const std::optional<double> value = preference(round, worker, task);
+        if (value && *value > bestValue) {
             best = static_cast<std::ptrdiff_t>(index);
-            bestValue = value;
+            bestValue = *value;
         }
     }
     return best;
 }
 
-void take(const interference_view &interference, candidate &worker, const step_spec &spec)
+void take(const round_state &round, candidate &worker, const placing &task)
 {
-    for (serving_view &serving : worker.serving) {
-        if (spec.fills)
-            serving.slack -= slackTaken(interference, worker, serving, spec);
-    }
+    const step_spec &spec = *task.spec;
     resources firm = spec.demand;
     if (spec.fills) {
+        for (serving_view &serving : worker.serving)
+            serving.slack -= slackTakenBy(round, worker, serving, task);
         worker.spareMillicores -= firm.millicores;
         worker.fillMillicores += firm.millicores;
         firm.millicores = 0;
     } else {
         worker.spareMillicores -= spec.lasting ? firm.millicores * servingUsePercent / 100 : firm.millicores;
     }
+    if (spec.lasting && spec.tailTarget.count() > 0 && task.image)
+        worker.serving.push_back({*task.image, round.interference.rules.learning.priorFreeSlack});
     worker.available = worker.available - firm;
 }
 
-void place(round_state &round, const ready_step &step, std::uint32_t index, std::uint32_t run,
+void place(round_state &round, const placing &task, std::uint32_t index, std::uint32_t run,
            std::size_t candidateIndex)
 {
     candidate &worker = round.candidates[candidateIndex];
-    take(round.interference, worker, step.owner->spec.steps[step.step]);
-    ++round.placed[{worker.incarnation, firstOf(step)}];
+    take(round, worker, task);
+    ++round.placed[{worker.incarnation, task.first}];
     ledger_record record;
-    record.task = firstOf(step);
+    record.task = task.first;
     record.task.index = index;
     record.run = run;
     record.worker = worker.incarnation;
@@ -209,34 +262,63 @@
         nearest->reserved = true;
 }
 
+task_kind kindOf(const placing &task)
+{
+    return {task.step->queue->service, task.spec->requiredLabel, task.spec->image, task.spec->fills};
+}
+
+//! Tells whether a task of the same kind that asks for no more has found no room in this round. Room only
+//! shrinks within a round.
+bool isHopeless(const round_state &round, const placing &task)
+{
+    const auto found = round.hopeless.find(kindOf(task));
+    return found != round.hopeless.end() && fits(found->second, task.spec->demand);
+}
+
+void noteHopeless(round_state &round, const placing &task)
+{
+    // A limit for each worker is the step's own affair.
+    if (task.spec->perWorkerLimit > 0)
+        return;
+    const auto [place, added] = round.hopeless.try_emplace(kindOf(task), task.spec->demand);
+    if (!added && fits(task.spec->demand, place->second))
+        place->second = task.spec->demand;
+}
+
 void placeSingles(round_state &round, const ready_step &step, std::size_t limit)
 {
+    const placing task = placingOf(round, step);
+    if (!task.spec->lasting && isHopeless(round, task))
+        return;
     const auto &tasks = step.owner->occurrences.at(step.occurrence).steps[step.step].tasks;
     for (std::uint32_t index = 0; index < tasks.size() && round.records.size() < limit; ++index) {
         if (tasks[index].phase != task_phase::waiting)
             continue;
-        const std::ptrdiff_t chosen = chooseCandidate(round, step, {});
-        const bool lasting = step.owner->spec.steps[step.step].lasting;
+        const std::ptrdiff_t chosen = chooseCandidate(round, task, {});
+        const bool lasting = task.spec->lasting;
         if (chosen < 0 && lasting)
             reserveFor(round, step);
-        if (chosen < 0 && !lasting)
+        if (chosen < 0 && !lasting) {
+            noteHopeless(round, task);
             return;
+        }
         if (chosen < 0)
             continue;
-        place(round, step, index, tasks[index].run + 1, static_cast<std::size_t>(chosen));
+        place(round, task, index, tasks[index].run + 1, static_cast<std::size_t>(chosen));
     }
 }
 
 bool tryPlaceGang(round_state &round, const ready_step &step, std::string_view rack, std::uint32_t run)
 {
     round_state trial = round;
+    const placing task = placingOf(round, step);
     const auto count = static_cast<std::uint32_t>(
         step.owner->occurrences.at(step.occurrence).steps[step.step].tasks.size());
     for (std::uint32_t index = 0; index < count; ++index) {
-        const std::ptrdiff_t chosen = chooseCandidate(trial, step, rack);
+        const std::ptrdiff_t chosen = chooseCandidate(trial, task, rack);
         if (chosen < 0)
             return false;
-        place(trial, step, index, run, static_cast<std::size_t>(chosen));
+        place(trial, task, index, run, static_cast<std::size_t>(chosen));
     }
     round.candidates = std::move(trial.candidates);
     round.placed = std::move(trial.placed);
@@ -295,7 +377,7 @@
                                       std::vector<candidate> candidates, std::size_t limit,
                                       time_point unixNow)
 {
-    round_state round{book, interference, std::move(candidates), {}, {}};
+    round_state round{book, interference, std::move(candidates), {}, {}, {}};
     for (const ready_step &step : readySteps(book, config, unixNow)) {
         if (round.records.size() >= limit)
             break;
--- a/tests/unit/interference_test.cpp
+++ b/tests/unit/interference_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <random>
 
 //! What is learned of tasks that disturb one another, and when it is acted on.
@@ -40,8 +41,8 @@
         running.push_back({{servingJob, 0, 0, 0}, 1, "", 100, 20});
         running.push_back({{fillingJob, 0, 0, 0}, 1, "", 50, 4000});
         running.push_back({{fillingJob, 0, 1, 0}, 1, "", 50, 4000});
-        model.slackPerCore[{"frail", "heavy"}] = 0.25;
-        model.slackPerCore[{"frail", "light"}] = 0.001;
+        tests::setSlackPerCore(model, "frail", "heavy", 0.25);
+        tests::setSlackPerCore(model, "frail", "light", 0.001);
     }
 
     std::vector<jobs::pace_order> decide(std::int64_t now, std::int64_t tailMs)
@@ -51,33 +52,98 @@
     }
 };
 
-//! Load pattern: serving tasks whose own load swings by half, beside a changing mix of two images.
+//! Load pattern: a serving task whose own load strays by half, beside a changing mix of two images.
 TEST(Interference, PairsAreToldApartDespiteTheLoadOfTheServingTask)
 {
     jobs::interference_model model;
     const jobs::learning_rules rules;
+    const jobs::image_number frail = jobs::numberOf(model, "frail");
+    const jobs::image_number heavyImage = jobs::numberOf(model, "heavy");
+    const jobs::image_number lightImage = jobs::numberOf(model, "light");
     std::mt19937 random(7);
     std::uniform_real_distribution<double> cores(0.0, 8.0);
     std::normal_distribution<double> load(0.0, 0.5);
-    for (int sample = 0; sample < 2000; ++sample) {
+    std::int64_t now = 0;
+    for (int sample = 0; sample < 2000; ++sample, now += 50) {
         const double heavy = cores(random);
         const double light = cores(random);
         const double slack = 2.4 - 0.2 * heavy - 0.02 * light + load(random);
-        jobs::addSample(model, "frail", slack, {{"heavy", heavy}, {"light", light}});
+        jobs::addSample(model, rules, servingJob, frail, slack, {{heavyImage, heavy}, {lightImage, light}},
+                        kernel::fromMillis(now));
         if (sample % 200 == 0)
-            jobs::refreshModel(model, rules);
+            jobs::refreshModel(model, rules, {});
     }
-    jobs::refreshModel(model, rules);
-    EXPECT_NEAR(jobs::slackPerCore(model, rules, "frail", "heavy"), 0.2, 0.04);
-    EXPECT_NEAR(jobs::slackPerCore(model, rules, "frail", "light"), 0.02, 0.03);
-    EXPECT_NEAR(jobs::freeSlack(model, rules, "frail"), 2.4, 0.2);
+    jobs::refreshModel(model, rules, {});
+    EXPECT_NEAR(jobs::slackPerCore(model, rules, frail, heavyImage), 0.2, 0.04);
+    EXPECT_NEAR(jobs::slackPerCore(model, rules, frail, lightImage), 0.02, 0.03);
+    EXPECT_NEAR(jobs::freeSlack(model, rules, servingJob, kernel::fromMillis(now), kernel::milliseconds(0)),
+                2.4, 0.2);
+}
+
+//! Load pattern: the users of a serving job come and go in waves, and all of its tasks feel them together. A
+//! fit that takes each task by itself mistakes the wave for its neighbours.
+TEST(Interference, PairsAreToldApartWithinSecondsWhileTheLoadOfAJobSwings)
+{
+    jobs::interference_model model;
+    const jobs::learning_rules rules;
+    const jobs::image_number frail = jobs::numberOf(model, "frail");
+    const jobs::image_number heavyImage = jobs::numberOf(model, "heavy");
+    const jobs::image_number lightImage = jobs::numberOf(model, "light");
+    std::mt19937 random(11);
+    std::uniform_real_distribution<double> cores(0.0, 6.0);
+    std::normal_distribution<double> stray(0.0, 0.25);
+    const auto freeAt = [](std::int64_t now) { return 2.5 + 1.1 * std::sin(static_cast<double>(now) / 3200.0); };
+    constexpr std::int64_t endMs = 12'000;
+    for (std::int64_t now = 0; now < endMs; now += 500) {
+        for (int task = 0; task < 8; ++task) {
+            const double heavy = cores(random);
+            const double light = cores(random);
+            const double slack = freeAt(now) - 0.2 * heavy + stray(random);
+            jobs::addSample(model, rules, servingJob, frail, slack,
+                            {{heavyImage, heavy}, {lightImage, light}}, kernel::fromMillis(now));
+        }
+        jobs::refreshModel(model, rules, {});
+    }
+    EXPECT_NEAR(jobs::slackPerCore(model, rules, frail, heavyImage), 0.2, 0.05);
+    EXPECT_NEAR(jobs::slackPerCore(model, rules, frail, lightImage), 0.0, 0.04);
+    const kernel::time_point now = kernel::fromMillis(endMs);
+    EXPECT_NEAR(jobs::freeSlack(model, rules, servingJob, now, kernel::milliseconds(0)), freeAt(endMs), 0.5);
+}
+
+TEST(Interference, ALoadThatGrowsIsForeseen)
+{
+    jobs::interference_model model;
+    const jobs::learning_rules rules;
+    const jobs::image_number frail = jobs::numberOf(model, "frail");
+    std::int64_t now = 0;
+    for (; now < 4000; now += 100)
+        jobs::addSample(model, rules, servingJob, frail, 3.5 - 0.3 * static_cast<double>(now) / 1000.0, {},
+                        kernel::fromMillis(now));
+    const double soon
+        = jobs::freeSlack(model, rules, servingJob, kernel::fromMillis(now), kernel::milliseconds(2000));
+    EXPECT_NEAR(soon, 3.5 - 0.3 * 6.0, 0.3);
 }
 
 TEST(Interference, AnUnknownPairHasThePrior)
 {
-    const jobs::interference_model model;
+    jobs::interference_model model;
     const jobs::learning_rules rules;
-    EXPECT_DOUBLE_EQ(jobs::slackPerCore(model, rules, "a", "b"), rules.priorSlackPerCore);
+    const jobs::image_number serving = jobs::numberOf(model, "a");
+    EXPECT_DOUBLE_EQ(jobs::slackPerCore(model, rules, serving, jobs::numberOf(model, "b")),
+                     rules.priorSlackPerCore);
+}
+
+//! Load pattern: several tasks that fill start at a worker between two figures of its serving tasks. The
+//! figures don't show them yet.
+TEST(Interference, TasksThatWereAssignedButNotSeenYetCount)
+{
+    neighbours world;
+    jobs::apply(world.book, tests::started({servingJob, 0, 0, 0}, 1, "v@1"));
+    jobs::apply(world.book, tests::started({fillingJob, 0, 0, 0}, 1, "v@1"));
+    const auto views = jobs::servingViews(world.model, world.rules, world.book.loads.find("v@1")->second,
+                                          world.capacity, world.pace, {});
+    ASSERT_EQ(views.size(), 1U);
+    EXPECT_NEAR(views.front().slack, world.rules.learning.priorFreeSlack - 0.25 * 4.0, 1e-9);
 }
 
 //! Load pattern: short filling tasks that are gone before a serving task has been too slow for long. Slowing
@@ -104,7 +170,7 @@
 TEST(Interference, EveryNeighbourIsHaltedBeforeTheHarmBoundEvenIfTheModelIsWrong)
 {
     neighbours world;
-    world.model.slackPerCore[{"frail", "heavy"}] = 0.0;
+    tests::setSlackPerCore(world.model, "frail", "heavy", 0.0);
     constexpr std::int64_t harmMs = 4000;
     constexpr std::int64_t lookMs = 500;
     std::int64_t haltedAt = 0;
--- a/tests/unit/job_fixtures.h
+++ b/tests/unit/job_fixtures.h
@@ -78,4 +78,13 @@
     return record;
 }
 
+//! Makes \a model know that a core of \a filling takes \a slack from \a serving.
+inline void setSlackPerCore(jobs::interference_model &model, const std::string &serving,
+                            const std::string &filling, double slack)
+{
+    const jobs::image_number served = jobs::numberOf(model, serving);
+    const jobs::image_number filler = jobs::numberOf(model, filling);
+    model.fits[served].slackPerCore[filler] = slack;
+}
+
 } // namespace almond::tests
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -154,16 +154,73 @@
     jobs::addJob(world.book, tests::makeJob("00000000000000aa", {filling}, "reviews"));
     world.addWorker(tests::worker("pressed"));
     world.addWorker(tests::worker("robust"));
-    world.candidates[0].serving = {{"frail", 2.0}};
-    world.candidates[1].serving = {{"sturdy", 2.0}};
-    world.interference.model.slackPerCore[{"frail", "heavy"}] = 0.25;
-    world.interference.model.slackPerCore[{"sturdy", "heavy"}] = 0.02;
+    jobs::interference_model &model = world.interference.model;
+    world.candidates[0].serving = {{jobs::numberOf(model, "frail"), 2.0}};
+    world.candidates[1].serving = {{jobs::numberOf(model, "sturdy"), 2.0}};
+    tests::setSlackPerCore(model, "frail", "heavy", 0.25);
+    tests::setSlackPerCore(model, "sturdy", "heavy", 0.02);
     const auto records = world.plan();
     EXPECT_EQ(records.size(), 4U);
     for (const jobs::ledger_record &record : records)
         EXPECT_EQ(record.worker, "robust@1");
 }
 
+//! Load pattern: serving tasks are at the peak of their own load while work comes that does not disturb them.
+TEST(Planner, AHarmlessTaskGoesBesideAServingTaskAtThePeakOfItsLoad)
+{
+    planned world;
+    auto filling = tests::step(1, 4000);
+    filling.fills = true;
+    filling.image = "gentle";
+    jobs::addJob(world.book, tests::makeJob("00000000000000aa", {filling}, "reviews"));
+    world.addWorker(tests::worker("v"));
+    jobs::interference_model &model = world.interference.model;
+    world.candidates[0].serving = {{jobs::numberOf(model, "frail"), 0.9}};
+    tests::setSlackPerCore(model, "frail", "gentle", 0.01);
+    EXPECT_EQ(world.plan().size(), 1U);
+    tests::setSlackPerCore(model, "frail", "gentle", 0.2);
+    EXPECT_TRUE(world.plan().empty());
+}
+
+//! Load pattern: a fleet that fills up with serving jobs of several images. Mixed on every worker, they leave
+//! no worker to the work that disturbs one of them.
+TEST(Planner, TasksThatServeGatherByImage)
+{
+    planned world;
+    const std::vector<std::string> images{"frail", "sturdy"};
+    for (std::size_t number = 0; number < images.size(); ++number) {
+        auto serving = tests::step(4, 8000);
+        serving.lasting = true;
+        serving.tailTarget = kernel::milliseconds(50);
+        serving.image = images[number];
+        jobs::numberOf(world.interference.model, serving.image);
+        jobs::addJob(world.book, tests::makeJob("00000000000000a" + std::to_string(number), {serving}));
+    }
+    world.addWorker(tests::worker("v"));
+    world.addWorker(tests::worker("w"));
+    world.addWorker(tests::worker("x"));
+    std::map<std::string, std::set<std::string>> jobsByWorker;
+    for (const jobs::ledger_record &record : world.plan())
+        jobsByWorker[record.worker].insert(record.task.job);
+    for (const auto &[worker, names] : jobsByWorker)
+        EXPECT_EQ(names.size(), 1U) << worker;
+}
+
+//! Load pattern: a backlog of equal jobs over a full fleet. One that finds no room settles it for all.
+TEST(Planner, AJobThatAsksForLessThanOneThatFoundNoRoomStillGetsIt)
+{
+    planned world;
+    jobs::addJob(world.book, tests::makeJob("00000000000000aa", {tests::step(3, 20'000)}));
+    jobs::addJob(world.book, tests::makeJob("00000000000000ab", {tests::step(3, 20'000)}));
+    jobs::addJob(world.book, tests::makeJob("00000000000000ac", {tests::step(3, 6000)}));
+    world.addWorker(tests::worker("v"));
+    std::map<std::string, int> starts;
+    for (const jobs::ledger_record &record : world.plan())
+        ++starts[record.task.job];
+    EXPECT_EQ(starts["00000000000000aa"], 1);
+    EXPECT_EQ(starts["00000000000000ac"], 2);
+}
+
 RC_GTEST_PROP(PlannerProperty, NoWorkerIsEverCommittedBeyondItsCapacity, ())
 {
     planned world;
