Let strong hosts carry an owner's orders to workers when its own processor is too small

Most of its work is some 3,000 exchanges a second with 350 workers. Owners of small fleets drive their workers themselves as before.

--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -19,6 +19,9 @@
 //! Time that requests in flight get before the process ends; with the notice it stays under the grace.
 constexpr milliseconds drainLimit{2500};
 
+//! Time between two lines that tell how much an owner has done; bounds their number.
+constexpr milliseconds reportInterval{5000};
+
 task<http::reply> answerNow(http::reply answer)
 {
     co_return answer;
@@ -56,6 +59,7 @@
     needs.local = [this] { return m_ownerServes ? m_owner : nullptr; };
     m_callers = std::make_unique<fleet::caller_service>(std::move(needs));
     m_callers->provideCalls();
+    startRelaying();
     m_peers->listen(m_settings.peerAddress);
     openReadiness();
     openOperators();
@@ -69,6 +73,30 @@
                   {"store", m_settings.storeAddress}});
 }
 
+void node_daemon::startRelaying()
+{
+    relay::sender_context sender;
+    sender.context = m_context;
+    sender.peers = m_peers.get();
+    sender.ownAddress = m_settings.peerAddress;
+    sender.processorShare = m_settings.processorShare;
+    sender.direct = m_platform.workers;
+    sender.clock = kernel::monotonicNow;
+    sender.workerCount = [this] { return m_owner ? m_owner->workerCount() : 0; };
+    m_orderSender = std::make_unique<relay::order_sender>(std::move(sender));
+    m_orderSender->provideCalls();
+    relay::carrier_context carrier;
+    carrier.context = m_context;
+    carrier.peers = m_peers.get();
+    carrier.ownAddress = m_settings.peerAddress;
+    carrier.processorShare = m_settings.processorShare;
+    carrier.workers = m_platform.workers;
+    carrier.owner = [this] { return m_ownerView.address; };
+    m_orderCarrier = std::make_unique<relay::order_carrier>(std::move(carrier));
+    m_orderCarrier->provideCalls();
+    kernel::spawn(m_context->get_executor(), m_orderCarrier->run());
+}
+
 void node_daemon::followOperators()
 {
     store::follow_events events;
@@ -206,6 +234,11 @@
                          {"connections", m_callersServer->connectionCount()}};
     if (m_owner)
         state["ownership"] = m_owner->dump();
+    const relay::relay_counters &relayed = m_orderSender->counters();
+    state["orders"] = {{"direct", relayed.direct},
+                       {"carried", relayed.carried},
+                       {"abandoned", relayed.abandoned},
+                       {"carriers", m_orderSender->usableHosts()}};
     return state;
 }
 
@@ -246,7 +279,7 @@
     fleet::owner_services services;
     services.processId = instanceName(m_settings.id);
     services.store = m_platform.store;
-    services.workers = m_platform.workers;
+    services.workers = m_orderSender->port();
     services.clock = kernel::monotonicNow;
     services.unixClock = kernel::systemNow;
     services.config = [this] { return m_config; };
@@ -278,6 +311,10 @@
 {
     const std::shared_ptr<fleet::job_owner> owner = m_owner;
     const kernel::time_point asked = kernel::monotonicNow();
+    if (asked - m_reportedAt >= reportInterval) {
+        observe::log(log_level::info, "work of the owner", dump());
+        m_reportedAt = asked;
+    }
     const fleet::renewal result = co_await fleet::renewOffice(m_platform.store, *m_term);
     if (result == fleet::renewal::held)
         m_renewedAt = asked;
@@ -308,6 +345,7 @@
 {
     observe::log(log_level::info, "node stopping");
     m_stopping = true;
+    m_orderCarrier->stop();
     const kernel::time_point begun = kernel::monotonicNow();
     if (m_owner) {
         m_ownerServes = false;
--- a/src/daemon/node_daemon.h
+++ b/src/daemon/node_daemon.h
@@ -7,6 +7,8 @@
 #include "http/server.h"
 #include "jobs/fleet_config.h"
 #include "jobs/worker_port.h"
+#include "relay/order_carrier.h"
+#include "relay/order_sender.h"
 #include "store/prefix_follower.h"
 
 #include <prometheus/registry.h>
@@ -50,6 +52,7 @@
     kernel::task<void> stop();
 
 private:
+    void startRelaying();
     void followOperators();
     void followOwner();
     std::shared_ptr<store::prefix_follower> followWorkers(std::shared_ptr<fleet::job_owner> owner);
@@ -70,6 +73,8 @@
     boost::asio::io_context *m_context = nullptr;
     std::unique_ptr<wire::peer_link> m_peers;
     std::unique_ptr<fleet::caller_service> m_callers;
+    std::unique_ptr<relay::order_sender> m_orderSender;
+    std::unique_ptr<relay::order_carrier> m_orderCarrier;
     std::unique_ptr<http::server> m_callersServer;
     std::unique_ptr<http::server> m_readinessServer;
     std::unique_ptr<http::server> m_operatorServer;
@@ -83,6 +88,7 @@
     fleet::election_rules m_election;
     std::optional<fleet::won_term> m_term;
     kernel::time_point m_renewedAt{};
+    kernel::time_point m_reportedAt{};
     std::shared_ptr<fleet::job_owner> m_owner;
     bool m_ownerServes = false;
     std::minstd_rand m_random;
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -115,6 +115,7 @@
     std::optional<jobs::job_status> statusOf(const std::string &id) const;
     //! Number of jobs of \a queue of which no task has started.
     std::size_t pendingIn(const std::string &queue) const;
+    std::size_t workerCount() const { return m_workers.size(); }
     json dump() const;
     json explain(const std::string &id) const;
     const owner_counters &counters() const { return m_counters; }
--- /dev/null
+++ b/src/relay/relay_table.cpp
@@ -0,0 +1,69 @@
+#include "relay/relay_table.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace almond::relay {
+
+void takeOffer(relay_table &table, const std::string &address, double processorShare, time_point now)
+{
+    relay_host &host = table.hosts[address];
+    host.processorShare = processorShare;
+    host.heardAt = now;
+}
+
+void suspend(relay_table &table, const relay_rules &rules, const std::string &address, time_point now)
+{
+    const auto host = table.hosts.find(address);
+    if (host != table.hosts.end())
+        host->second.suspendedUntil = now + rules.suspension;
+}
+
+bool isUsable(const relay_host &host, const relay_rules &rules, time_point now)
+{
+    return now - host.heardAt <= rules.offerValidity && now >= host.suspendedUntil;
+}
+
+bool needsRelays(const relay_rules &rules, double processorShare, std::size_t workers)
+{
+    return static_cast<double>(workers) > rules.workersPerCore * processorShare;
+}
+
+std::vector<std::string> chooseCarriers(const relay_table &table, const relay_rules &rules,
+                                        std::size_t workers, time_point now)
+{
+    std::vector<std::pair<double, std::string>> usable;
+    for (const auto &[address, host] : table.hosts) {
+        if (isUsable(host, rules, now))
+            usable.emplace_back(-host.processorShare, address);
+    }
+    std::sort(usable.begin(), usable.end());
+    std::vector<std::string> carriers;
+    double served = 0.0;
+    for (const auto &[negativeShare, address] : usable) {
+        if (served >= static_cast<double>(workers))
+            break;
+        served -= negativeShare * rules.workersPerCore;
+        carriers.push_back(address);
+    }
+    return carriers;
+}
+
+std::string_view carrierFor(std::span<const std::string> carriers, std::string_view worker)
+{
+    std::string_view best;
+    std::uint64_t bestScore = 0;
+    for (const std::string &address : carriers) {
+        const std::uint64_t seed = XXH64(address.data(), address.size(), 0);
+        const std::uint64_t score = XXH64(worker.data(), worker.size(), seed);
+        if (best.empty() || score > bestScore) {
+            best = address;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+} // namespace almond::relay
