--- a/apps/ctl/control_session.cpp
+++ b/apps/ctl/control_session.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr kernel::milliseconds callTimeout{10'000};
+//! How long an operator waits for schedulers that answer but do not know the owners yet, as after an outage of
+//! the store; longer than a takeover.
+constexpr kernel::milliseconds patience{10'000};
+constexpr kernel::milliseconds retryPause{200};
 
 } // namespace
 
@@ -30,10 +34,19 @@
 
 kernel::task<std::optional<json>> callScheduler(control_session &session, std::string method, json arguments)
 {
-    for (const std::string &address : session.options.schedulers) {
-        auto answer = co_await session.peers->call(address, method, arguments, callTimeout);
-        if (answer && !answer->is_null())
-            co_return answer;
+    const kernel::time_point end = kernel::monotonicNow() + patience;
+    bool answered = true;
+    // Each call names its jobs, so that asking again changes nothing more.
+    while (answered && kernel::monotonicNow() < end) {
+        answered = false;
+        for (const std::string &address : session.options.schedulers) {
+            auto answer = co_await session.peers->call(address, method, arguments, callTimeout);
+            answered = answered || answer.has_value();
+            if (answer && !answer->is_null())
+                co_return answer;
+        }
+        if (answered)
+            co_await kernel::sleepFor(retryPause);
     }
     co_return std::nullopt;
 }
--- a/src/jobs/interference.cpp
+++ b/src/jobs/interference.cpp
@@ -47,8 +47,9 @@
 
 void addCores(cores_by_image &cores, image_number image, double amount)
 {
-    const auto place = std::lower_bound(cores.begin(), cores.end(), image,
-                                        [](const auto &entry, image_number key) { return entry.first < key; });
+    const auto place
+        = std::lower_bound(cores.begin(), cores.end(), image,
+                           [](const auto &entry, image_number key) { return entry.first < key; });
     if (place != cores.end() && place->first == image)
         place->second += amount;
     else
--- a/src/jobs/interference.h
+++ b/src/jobs/interference.h
@@ -24,8 +24,8 @@
     double aimedSlack = 1.2;
     //! Above this slack neighbours may go faster.
     double calmSlack = 1.3;
-    //! A task that fills is placed only where this slack is expected to remain, and as much again as it takes:
-    //! what takes much is also misjudged by much.
+    //! A task that fills is placed only where this slack is expected to remain, and as much again as it
+    //! takes: what takes much is also misjudged by much.
     double placementSlack = 1.05;
     //! Slack that the figures of one task stray from its job's without a cause of its own.
     double ordinaryStray = 0.4;
--- a/src/placement/scheduler_service.cpp
+++ b/src/placement/scheduler_service.cpp
@@ -39,8 +39,7 @@
     m_running = true;
     while (!m_stopping) {
         const bool renewed = co_await renew();
-        if (renewed)
-            co_await refreshView();
+        co_await refreshView(renewed);
         dropReplaced();
         co_await kernel::sleepFor(m_options.renewInterval);
     }
@@ -81,7 +80,7 @@
     co_return standing.status == store_status::ok &&standing.value == value;
 }
 
-task<void> scheduler_service::refreshView()
+task<void> scheduler_service::refreshView(bool renewed)
 {
     const time_point asked = m_services.clock();
     const store::range_reply reply = co_await m_services.store.range(store::prefixRange(schedulerPrefix));
@@ -89,6 +88,9 @@
         co_return;
     m_view = viewOf(reply.items);
     m_viewedAt = asked;
+    // Who owns what can be read without a lease; to change it takes one.
+    if (!renewed)
+        co_return;
     const std::vector<std::string> names = cellNames(m_services.config()->parsed);
     std::set<std::string> owned;
     for (const auto &[name, owner] : m_cells)
--- a/src/placement/scheduler_service.h
+++ b/src/placement/scheduler_service.h
@@ -46,7 +46,8 @@
 private:
     kernel::task<bool> renew();
     kernel::task<bool> announce();
-    kernel::task<void> refreshView();
+    //! Reads who owns what, and takes and hands over cells if this process's lease was \a renewed.
+    kernel::task<void> refreshView(bool renewed);
     kernel::task<void> take(std::string cell);
     kernel::task<void> release(std::string cell);
     kernel::task<bool> adopt(std::string cell, json records);
--- a/src/relay/order_carrier.cpp
+++ b/src/relay/order_carrier.cpp
@@ -36,8 +36,7 @@
             // Without an answer the owner may need help all the more.
             wanted = !answer || answer->value("wanted", false);
         }
-        co_await kernel::sleepFor(wanted ? m_context.rules.offerInterval
-                                         : m_context.rules.idleOfferInterval);
+        co_await kernel::sleepFor(wanted ? m_context.rules.offerInterval : m_context.rules.idleOfferInterval);
     }
 }
 
--- a/src/relay/order_carrier.h
+++ b/src/relay/order_carrier.h
@@ -25,8 +25,8 @@
     relay_rules rules;
 };
 
-//! The other side: offers this host to the owner, hands its orders to workers, and brings the answers back. It
-//! decides nothing; a worker obeys only the newest owner's term, which each order carries.
+//! The other side: offers this host to the owner, hands its orders to workers, and brings the answers back.
+//! It decides nothing; a worker obeys only the newest owner's term, which each order carries.
 class order_carrier
 {
 public:
--- a/src/relay/order_codec.cpp
+++ b/src/relay/order_codec.cpp
@@ -88,8 +88,8 @@
             json::array({jobs::formatTask(row.task), row.run, row.checkpoint, row.percent, row.figure}));
     json ended = json::array();
     for (const jobs::ended_report &row : answer.ended)
-        ended.push_back(json::array({row.number, jobs::formatTask(row.task), row.run,
-                                     static_cast<int>(row.end), row.checkpoint}));
+        ended.push_back(json::array(
+            {row.number, jobs::formatTask(row.task), row.run, static_cast<int>(row.end), row.checkpoint}));
     json clock = nullptr;
     if (answer.result.workerClockMs)
         clock = *answer.result.workerClockMs;
--- a/src/relay/order_sender.cpp
+++ b/src/relay/order_sender.cpp
@@ -50,8 +50,7 @@
     relay::takeOffer(m_table, arguments.at("address"), arguments.at("processorShare"), m_context.clock());
     dropSilentHosts();
     json answer;
-    answer["wanted"]
-        = needsRelays(m_context.rules, m_context.processorShare, m_context.workerCount());
+    answer["wanted"] = needsRelays(m_context.rules, m_context.processorShare, m_context.workerCount());
     return answer;
 }
 
@@ -105,8 +104,8 @@
     if (m_chosenAt == time_point{} || now - m_chosenAt >= m_context.rules.choiceInterval) {
         const std::size_t workers = m_context.workerCount();
         const bool needed = needsRelays(m_context.rules, m_context.processorShare, workers);
-        m_carriers = needed ? chooseCarriers(m_table, m_context.rules, workers, now)
-                            : std::vector<std::string>();
+        m_carriers
+            = needed ? chooseCarriers(m_table, m_context.rules, workers, now) : std::vector<std::string>();
         m_chosenAt = now;
     }
     return std::string(carrierFor(m_carriers, target.workerId));
--- a/src/relay/order_sender.h
+++ b/src/relay/order_sender.h
@@ -37,8 +37,8 @@
 };
 
 //! The owner's side: sends orders to workers itself or through other hosts that have offered, many in one
-//! message. An order whose host is lost has an unknown outcome, like any order without an answer; the next one
-//! to that worker takes another way.
+//! message. An order whose host is lost has an unknown outcome, like any order without an answer; the next
+//! one to that worker takes another way.
 class order_sender
 {
 public:
--- a/src/relay/relay_table.h
+++ b/src/relay/relay_table.h
@@ -29,7 +29,8 @@
     milliseconds offerValidity{1000};
     //! How long a host that left a batch without a receipt gets no orders.
     milliseconds suspension{2000};
-    //! Time between two choices of the hosts that carry; a change moves orders, so it must not be all the time.
+    //! Time between two choices of the hosts that carry; a change moves orders, so it must not be all the
+    //! time.
     milliseconds choiceInterval{200};
     //! Time for the receipt of a batch.
     milliseconds receiptTimeout{400};
@@ -69,8 +70,8 @@
 std::vector<std::string> chooseCarriers(const relay_table &table, const relay_rules &rules,
                                         std::size_t workers, time_point now);
 
-//! The one of \a carriers that takes the orders to \a worker; empty when there is none. While \a carriers stay
-//! the same so does the choice; when one leaves only its workers move.
+//! The one of \a carriers that takes the orders to \a worker; empty when there is none. While \a carriers
+//! stay the same so does the choice; when one leaves only its workers move.
 std::string_view carrierFor(std::span<const std::string> carriers, std::string_view worker);
 
 } // namespace almond::relay
--- a/tests/unit/interference_test.cpp
+++ b/tests/unit/interference_test.cpp
@@ -92,7 +92,8 @@
     std::mt19937 random(11);
     std::uniform_real_distribution<double> cores(0.0, 6.0);
     std::normal_distribution<double> stray(0.0, 0.25);
-    const auto freeAt = [](std::int64_t now) { return 2.5 + 1.1 * std::sin(static_cast<double>(now) / 3200.0); };
+    const auto freeAt
+        = [](std::int64_t now) { return 2.5 + 1.1 * std::sin(static_cast<double>(now) / 3200.0); };
     constexpr std::int64_t endMs = 12'000;
     for (std::int64_t now = 0; now < endMs; now += 500) {
         for (int task = 0; task < 8; ++task) {
--- /dev/null
+++ b/tests/unit/scheduler_service_test.cpp
@@ -0,0 +1,65 @@
+#include "placement/cell_directory.h"
+#include "placement/scheduler_service.h"
+
+#include <gtest/gtest.h>
+
+//! How a scheduler keeps track of who owns what while the store answers only in part.
+namespace {
+
+using namespace almond;
+using kernel::milliseconds;
+using kernel::task;
+using store::store_reply;
+using store::store_status;
+
+constexpr milliseconds storeLease{300};
+constexpr milliseconds renewInterval{20};
+
+//! A store that grants leases and can be read, and loses the answer to every renewal.
+store::store_api storeThatLosesRenewals(const placement::scheduler_member &owner)
+{
+    store::store_api api;
+    api.grantLease = [](milliseconds) -> task<store_reply> { co_return store_reply{store_status::ok, "1", 0}; };
+    api.keepAlive = [](std::string) -> task<store_reply> {
+        co_return store_reply{store_status::unavailable, "", 0};
+    };
+    api.create = [](std::string, std::string, std::string) -> task<store_reply> {
+        co_return store_reply{store_status::ok, "", 1};
+    };
+    api.range = [owner](store::key_range) -> task<store::range_reply> {
+        store::range_reply reply;
+        reply.status = store_status::ok;
+        reply.items.push_back({placement::ownerKey("cell-1"), placement::encodeMember(owner), 1});
+        co_return reply;
+    };
+    return api;
+}
+
+//! Load pattern: the store loses the answers of writes for a while and answers reads. Jobs must still find
+//! the owners of cells.
+TEST(SchedulerService, OwnersStayKnownWhileRenewalsHaveNoAnswer)
+{
+    boost::asio::io_context context;
+    wire::peer_link peers(context);
+    placement::scheduler_options options;
+    options.self = {"scheduler-1", "127.0.0.1:1"};
+    options.storeLease = storeLease;
+    options.renewInterval = renewInterval;
+    placement::owner_context services;
+    services.store = storeThatLosesRenewals({"scheduler-2", "127.0.0.1:2"});
+    services.clock = kernel::monotonicNow;
+    services.config = [] { return std::make_shared<const config::config_view>(); };
+    placement::scheduler_service scheduler(context, options, std::move(services), peers);
+    kernel::spawn(context.get_executor(), scheduler.run());
+    const auto begun = kernel::monotonicNow();
+    bool known = false;
+    while (kernel::monotonicNow() - begun < 3 * storeLease) {
+        context.run_one_for(std::chrono::milliseconds(5));
+        known = known || scheduler.knowsOwners(kernel::monotonicNow());
+        if (known)
+            ASSERT_TRUE(scheduler.knowsOwners(kernel::monotonicNow()));
+    }
+    EXPECT_TRUE(known);
+}
+
+} // namespace
