--- a/tests/unit/interference_test.cpp
+++ b/tests/unit/interference_test.cpp
@@ -1,6 +1,4 @@
-#include "jobs/interference.h"
-#include "tests/unit/draw.h"
-#include "tests/unit/job_fixtures.h"
+#include "tests/unit/neighbours.h"
 
 #include <gtest/gtest.h>
 
@@ -12,45 +10,9 @@
 
 using namespace almond;
 
-constexpr const char *servingJob = "00000000000000aa";
-constexpr const char *fillingJob = "00000000000000ab";
-constexpr std::int64_t targetMs = 50;
-
-struct neighbours
-{
-    jobs::ledger book;
-    jobs::interference_model model;
-    jobs::interference_rules rules;
-    jobs::pace_state pace;
-    jobs::resources capacity{32'000, 128'000, 0};
-    std::vector<jobs::running_report> running;
-
-    neighbours()
-    {
-        auto serving = tests::step(1, 6000);
-        serving.lasting = true;
-        serving.image = "frail";
-        serving.tailTarget = kernel::milliseconds(targetMs);
-        jobs::addJob(book, tests::makeJob(servingJob, {serving}));
-        auto heavy = tests::step(1, 4000);
-        heavy.fills = true;
-        heavy.image = "heavy";
-        auto light = heavy;
-        light.image = "light";
-        jobs::addJob(book, tests::makeJob(fillingJob, {heavy, light}));
-        running.push_back({{servingJob, 0, 0, 0}, 1, "", 100, 20});
-        running.push_back({{fillingJob, 0, 0, 0}, 1, "", 50, 4000});
-        running.push_back({{fillingJob, 0, 1, 0}, 1, "", 50, 4000});
-        tests::setSlackPerCore(model, "frail", "heavy", 0.25);
-        tests::setSlackPerCore(model, "frail", "light", 0.001);
-    }
-
-    std::vector<jobs::pace_order> decide(std::int64_t now, std::int64_t tailMs)
-    {
-        running[0].figure = tailMs;
-        return jobs::decidePaces(pace, model, rules, book, capacity, running, kernel::fromMillis(now));
-    }
-};
+using tests::fillingJob;
+using tests::neighbours;
+using tests::servingJob;
 
 //! Load pattern: a serving task whose own load strays by half, beside a changing mix of two images.
 TEST(Interference, PairsAreToldApartDespiteTheLoadOfTheServingTask)
