Halt neighbours by the mean of the figures where single ones stray, and give the order sender one way in

Slowing works as before; only the halt looks at the mean since the excess began. The order sender's four orders share one way to count, choose and time out; its tests are unchanged.

--- a/apps/ctl/control_session.cpp
+++ b/apps/ctl/control_session.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr kernel::milliseconds callTimeout{10'000};
-//! How long an operator waits for schedulers that answer but do not know the owners yet, as after an outage of
-//! the store; longer than a takeover.
+//! How long an operator waits for schedulers that answer but do not know the owners yet, as after an outage
+//! of the store; longer than a takeover.
 constexpr kernel::milliseconds patience{10'000};
 constexpr kernel::milliseconds retryPause{200};
 
--- a/src/jobs/interference.cpp
+++ b/src/jobs/interference.cpp
@@ -168,23 +168,69 @@
     std::erase_if(pace.told, [&](const auto &entry) { return !standing.contains(entry.first); });
 }
 
-//! Keeps account of since when each serving task has been too slow. Returns the longest such time.
-milliseconds updateTooSlow(pace_state &pace, const interference_rules &rules, const ledger &book,
-                           std::span<const running_report> running, time_point now)
+//! What the excesses of the serving tasks on one worker ask for.
+struct excess_view
 {
-    std::map<task_name, time_point> since;
-    milliseconds longest{0};
+    //! Longest time without a good figure in between.
+    milliseconds unbroken{0};
+    //! A serving task comes near the harm bound.
+    bool mustHalt = false;
+};
+
+//! What is known of a serving task's excess after one more figure; empty when there is none.
+std::optional<slow_state> nextSlowState(const slow_state *known, double slack,
+                                        const interference_rules &rules, time_point now)
+{
+    const bool good = slack >= rules.lowSlack;
+    if (!known)
+        return good ? std::nullopt : std::optional(slow_state{now, now, {}, slack, 1});
+    const bool wasGood = known->goodSince != time_point{};
+    if (good && wasGood && now - known->goodSince >= rules.goodFor)
+        return std::nullopt;
+    slow_state next = *known;
+    next.slackSum += slack;
+    ++next.figures;
+    if (good && !wasGood)
+        next.goodSince = now;
+    if (!good && wasGood) {
+        next.unbrokenSince = now;
+        next.goodSince = time_point{};
+    }
+    return next;
+}
+
+bool nearsHarm(const slow_state &state, double slack, const interference_rules &rules, time_point now)
+{
+    if (slack >= rules.aimedSlack)
+        return false;
+    if (state.goodSince == time_point{} && now - state.unbrokenSince >= rules.haltAfter)
+        return true;
+    return now - state.begun >= rules.haltAfterStrays && state.slackSum < state.figures;
+}
+
+//! Keeps account of the serving tasks that are too slow.
+excess_view updateTooSlow(pace_state &pace, const interference_rules &rules, const ledger &book,
+                          std::span<const running_report> running, time_point now)
+{
+    std::map<task_name, slow_state> states;
+    excess_view view;
     for (const running_report &row : running) {
         const step_spec *spec = findStep(book, row.task);
-        if (!serves(spec) || row.figure <= 0 || slackOf(*spec, row, rules) >= rules.lowSlack)
+        if (!serves(spec) || row.figure <= 0)
+            continue;
+        const double slack = slackOf(*spec, row, rules);
+        const auto known = pace.tooSlow.find(row.task);
+        const auto next
+            = nextSlowState(known == pace.tooSlow.end() ? nullptr : &known->second, slack, rules, now);
+        if (!next)
             continue;
-        const auto known = pace.tooSlowSince.find(row.task);
-        const time_point begun = known == pace.tooSlowSince.end() ? now : known->second;
-        since[row.task] = begun;
-        longest = std::max(longest, now - begun);
+        states[row.task] = *next;
+        if (next->goodSince == time_point{})
+            view.unbroken = std::max(view.unbroken, now - next->unbrokenSince);
+        view.mustHalt = view.mustHalt || nearsHarm(*next, slack, rules, now);
     }
-    pace.tooSlowSince = std::move(since);
-    return longest;
+    pace.tooSlow = std::move(states);
+    return view;
 }
 
 } // namespace
@@ -254,14 +300,14 @@
 {
     const std::vector<filling_row> neighbours = fillingRows(model, book, capacity, running);
     forgetEnded(pace, neighbours);
-    const milliseconds tooSlow = updateTooSlow(pace, rules, book, running, now);
+    const excess_view excess = updateTooSlow(pace, rules, book, running, now);
     if (neighbours.empty() || (pace.changedAt != time_point{} && now - pace.changedAt < rules.settle))
         return {};
     const tightest_task tightest = findTightest(model, book, rules, running);
     pace_change change{pace, model, rules, tightest, {}};
-    if (tooSlow >= rules.haltAfter)
+    if (excess.mustHalt)
         change.halt(neighbours);
-    else if (tooSlow >= rules.patience)
+    else if (excess.unbroken >= rules.patience)
         change.slowDown(neighbours);
     else if (tightest.slack > rules.calmSlack)
         change.speedUp(neighbours);
--- a/src/jobs/interference.h
+++ b/src/jobs/interference.h
@@ -41,6 +41,10 @@
     //! After a serving task was too slow for this long all of its neighbours are halted, whatever the model
     //! says of them. With the late figures it must stay under the users' harm bound of 4 s.
     milliseconds haltAfter{2000};
+    //! The same for an excess in which some figures were good, if the mean of all shows that they strayed.
+    milliseconds haltAfterStrays{2500};
+    //! For this long figures must be good to end an excess for certain; as long as one figure covers.
+    milliseconds goodFor{500};
 };
 
 //! A serving task on a worker.
@@ -54,14 +58,27 @@
 //! Cores of a worker with \a capacity as the model counts them.
 double modelCores(std::int64_t millicores, const resources &capacity);
 
+//! How long a serving task has been too slow.
+struct slow_state
+{
+    //! Time of the first figure of the excess.
+    time_point begun{};
+    //! The same, counted from the last good figure within the excess.
+    time_point unbrokenSince{};
+    //! Since when its figures have been good; zero while they are not.
+    time_point goodSince{};
+    double slackSum = 0.0;
+    int figures = 0;
+};
+
 //! The paces of the tasks that fill on one worker.
 struct pace_state
 {
     time_point changedAt{};
     //! Percent that each run was told last; one that is not in here works at 100.
     std::map<std::pair<task_name, std::uint32_t>, int> told;
-    //! Since when a serving task has been too slow.
-    std::map<task_name, time_point> tooSlowSince;
+    //! Serving tasks that are too slow.
+    std::map<task_name, slow_state> tooSlow;
     //! How much less slack a serving task was seen with than the model explains.
     std::map<task_name, double> shortfall;
 };
--- a/src/relay/order_sender.cpp
+++ b/src/relay/order_sender.cpp
@@ -13,6 +13,20 @@
 using nlohmann::json;
 using observe::log_level;
 
+namespace {
+
+//! An order as it is given to a carrier; its number comes when it leaves.
+template<typename Order>
+carried_order carried(jobs::order_target target, Order order)
+{
+    carried_order result;
+    result.target = std::move(target);
+    result.order = std::move(order);
+    return result;
+}
+
+} // namespace
+
 struct order_sender::pending_order
 {
     pending_order(boost::asio::io_context &context, std::string carrier)
@@ -98,7 +112,7 @@
                      {{"host", host}, {"ordersWithoutAnswer", count}});
 }
 
-std::string order_sender::relayFor(const jobs::order_target &target)
+std::string order_sender::carrierOf(const jobs::order_target &target)
 {
     const time_point now = m_context.clock();
     if (m_chosenAt == time_point{} || now - m_chosenAt >= m_context.rules.choiceInterval) {
@@ -108,16 +122,19 @@
             = needed ? chooseCarriers(m_table, m_context.rules, workers, now) : std::vector<std::string>();
         m_chosenAt = now;
     }
-    return std::string(carrierFor(m_carriers, target.workerId));
+    std::string carrier(carrierFor(m_carriers, target.workerId));
+    ++(carrier.empty() ? m_counters.direct : m_counters.carried);
+    return carrier;
 }
 
-task<look_answer> order_sender::carry(std::string host, carried_order order, milliseconds timeout)
+task<look_answer> order_sender::carry(std::string host, carried_order order)
 {
+    const auto *look = std::get_if<jobs::look_order>(&order.order);
+    const milliseconds timeout = m_context.rules.answerTimeout + (look ? look->wait : milliseconds(0));
     const std::uint64_t number = m_next++;
     order.number = number;
     const auto pending = std::make_shared<pending_order>(*m_context.context, host);
     m_pending[number] = pending;
-    ++m_counters.carried;
     outbox &box = m_outboxes[host];
     box.orders.push_back(encodeOrder(order));
     if (!box.travelling) {
@@ -153,54 +170,35 @@
 jobs::worker_port order_sender::port()
 {
     jobs::worker_port port;
-    const milliseconds timeout = m_context.rules.answerTimeout;
-    port.start = [this, timeout](jobs::order_target target, jobs::start_order order) -> task<order_answer> {
-        const std::string host = relayFor(target);
-        if (host.empty()) {
-            ++m_counters.direct;
+    port.start = [this](jobs::order_target target, jobs::start_order order) -> task<order_answer> {
+        const std::string host = carrierOf(target);
+        if (host.empty())
             co_return co_await m_context.direct.start(std::move(target), std::move(order));
-        }
-        carried_order carried;
-        carried.target = std::move(target);
-        carried.order = std::move(order);
-        const look_answer answer = co_await carry(host, std::move(carried), timeout);
+        const look_answer answer = co_await carry(host, carried(std::move(target), std::move(order)));
         co_return answer.result;
     };
-    port.stop = [this, timeout](jobs::order_target target, jobs::task_name name,
-                                std::uint32_t run) -> task<order_answer> {
-        const std::string host = relayFor(target);
-        if (host.empty()) {
-            ++m_counters.direct;
+    port.stop
+        = [this](jobs::order_target target, jobs::task_name name, std::uint32_t run) -> task<order_answer> {
+        const std::string host = carrierOf(target);
+        if (host.empty())
             co_return co_await m_context.direct.stop(std::move(target), std::move(name), run);
-        }
-        carried_order carried;
-        carried.target = std::move(target);
-        carried.order = stop_order{std::move(name), run};
-        const look_answer answer = co_await carry(host, std::move(carried), timeout);
+        stop_order order{std::move(name), run};
+        const look_answer answer = co_await carry(host, carried(std::move(target), std::move(order)));
         co_return answer.result;
     };
-    port.look = [this, timeout](jobs::order_target target, jobs::look_order order) -> task<look_answer> {
-        const std::string host = relayFor(target);
-        if (host.empty()) {
-            ++m_counters.direct;
+    port.look = [this](jobs::order_target target, jobs::look_order order) -> task<look_answer> {
+        const std::string host = carrierOf(target);
+        if (host.empty())
             co_return co_await m_context.direct.look(std::move(target), order);
-        }
-        carried_order carried;
-        carried.target = std::move(target);
-        carried.order = order;
-        co_return co_await carry(host, std::move(carried), timeout + order.wait);
+        co_return co_await carry(host, carried(std::move(target), order));
     };
-    port.pace = [this, timeout](jobs::order_target target, jobs::task_name name, std::uint32_t run,
-                                int percent) -> task<order_answer> {
-        const std::string host = relayFor(target);
-        if (host.empty()) {
-            ++m_counters.direct;
+    port.pace = [this](jobs::order_target target, jobs::task_name name, std::uint32_t run,
+                       int percent) -> task<order_answer> {
+        const std::string host = carrierOf(target);
+        if (host.empty())
             co_return co_await m_context.direct.pace(std::move(target), std::move(name), run, percent);
-        }
-        carried_order carried;
-        carried.target = std::move(target);
-        carried.order = pace_order{std::move(name), run, percent};
-        const look_answer answer = co_await carry(host, std::move(carried), timeout);
+        pace_order order{std::move(name), run, percent};
+        const look_answer answer = co_await carry(host, carried(std::move(target), std::move(order)));
         co_return answer.result;
     };
     return port;
--- a/src/relay/order_sender.h
+++ b/src/relay/order_sender.h
@@ -59,8 +59,9 @@
         bool travelling = false;
     };
 
-    std::string relayFor(const jobs::order_target &target);
-    kernel::task<jobs::look_answer> carry(std::string host, carried_order order, milliseconds timeout);
+    //! The host that carries orders to \a target now; empty when they go directly. Counts the order.
+    std::string carrierOf(const jobs::order_target &target);
+    kernel::task<jobs::look_answer> carry(std::string host, carried_order order);
     kernel::task<void> flush(std::string host);
     nlohmann::json takeAnswers(const nlohmann::json &arguments);
     nlohmann::json takeOffer(const nlohmann::json &arguments);
--- a/tests/unit/scheduler_service_test.cpp
+++ b/tests/unit/scheduler_service_test.cpp
@@ -19,7 +19,9 @@
 store::store_api storeThatLosesRenewals(const placement::scheduler_member &owner)
 {
     store::store_api api;
-    api.grantLease = [](milliseconds) -> task<store_reply> { co_return store_reply{store_status::ok, "1", 0}; };
+    api.grantLease = [](milliseconds) -> task<store_reply> {
+        co_return store_reply{store_status::ok, "1", 0};
+    };
     api.keepAlive = [](std::string) -> task<store_reply> {
         co_return store_reply{store_status::unavailable, "", 0};
     };
