Number carried orders apart from those of an earlier life of the owner

Cause: found on reading the diff: order numbers began at 1 in each process. Answers that carriers still bring to a process that was started anew at the same address could be taken for answers to its own orders; a look's answer of another worker would count that worker's runs as over. Ruled out: the broken connection as a guard (a carrier opens a new one for its next batch). After: numbers begin at the process's start time, a million for each millisecond. Test: RelayTable.TwoLivesOfAnOwnerShareNoOrderNumbers.

--- a/src/relay/order_sender.cpp
+++ b/src/relay/order_sender.cpp
@@ -40,6 +40,7 @@
 
 order_sender::order_sender(sender_context context)
     : m_context(std::move(context))
+    , m_next(firstOrderNumber(kernel::systemNow()))
 {
 }
 
--- a/src/relay/order_sender.h
+++ b/src/relay/order_sender.h
@@ -75,7 +75,7 @@
     time_point m_chosenAt{};
     std::map<std::string, outbox> m_outboxes;
     std::map<std::uint64_t, pending_ptr> m_pending;
-    std::uint64_t m_next = 1;
+    std::uint64_t m_next;
     relay_counters m_counters;
 };
 
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -7,6 +7,12 @@
 
 namespace almond::relay {
 
+std::uint64_t firstOrderNumber(time_point unixNow)
+{
+    constexpr std::uint64_t ordersPerMillisecond = 1'000'000;
+    return static_cast<std::uint64_t>(kernel::toMillis(unixNow)) * ordersPerMillisecond;
+}
+
 void takeOffer(relay_table &table, const std::string &address, double processorShare, time_point now)
 {
     relay_host &host = table.hosts[address];
--- a/src/relay/relay_table.h
+++ b/src/relay/relay_table.h
@@ -3,6 +3,7 @@
 #include "kernel/time.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <span>
 #include <string>
@@ -55,6 +56,11 @@
     std::map<std::string, relay_host> hosts;
 };
 
+//! Number of the first order of an owner's process that starts at \a unixNow. Answers to orders of an earlier
+//! process at the same address may still arrive, so that no two processes may use the same numbers; there is
+//! room for a million orders in each millisecond of a process's life.
+std::uint64_t firstOrderNumber(time_point unixNow);
+
 //! Takes an offer of \a address into \a table.
 void takeOffer(relay_table &table, const std::string &address, double processorShare, time_point now);
 //! Gives \a address no orders for a while.
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -56,6 +56,17 @@
     EXPECT_TRUE(relay::chooseCarriers(table, rules, 400, later).empty());
 }
 
+//! An owner's process that starts anew has the address of the one before, whose answers may still arrive.
+TEST(RelayTable, TwoLivesOfAnOwnerShareNoOrderNumbers)
+{
+    constexpr std::uint64_t ordersOfALife = 3000ULL * 1800; // half an hour of a busy fleet
+    const auto born = kernel::fromMillis(1'781'404'399'025);
+    const auto bornAgain = born + kernel::milliseconds(1'800'000);
+    EXPECT_GT(relay::firstOrderNumber(bornAgain), relay::firstOrderNumber(born) + ordersOfALife);
+    const auto soon = born + kernel::milliseconds(500);
+    EXPECT_GT(relay::firstOrderNumber(soon), relay::firstOrderNumber(born) + 3000);
+}
+
 RC_GTEST_PROP(RelayTableProperty, OnlyTheWorkersOfAHostThatLeavesMove, ())
 {
     const relay::relay_rules rules;
