Give no new work to workers whose runs fail or are slow

Ruled out: lost owners (no change of owner in those seconds), room (the same second without failing workers had no queue). Change: failures, and runs that take twice as long as their kin in the same step, add to a doubt in a worker; successes take it away. From two failures within few runs on it gets nothing for 2 s, doubling. Failures of a step that fails everywhere don't count. The quarantine of cells is the same type now, with its own limits.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -3,6 +3,8 @@
 #include "jobs/job_codec.h"
 #include "observe/log.h"
 
+#include <algorithm>
+
 namespace almond::fleet {
 
 using jobs::ledger_record;
@@ -196,9 +198,12 @@
 std::vector<jobs::candidate> job_owner::candidates(time_point now) const
 {
     const jobs::fleet_config_ptr config = m_services.config();
+    const bool useAll = tooManyQuarantined(now);
     std::vector<jobs::candidate> usable;
     for (const auto &[incarnation, worker] : m_workers) {
         const jobs::worker_session &session = worker->session;
+        if (!useAll && placement::isQuarantined(worker->conduct.health, now))
+            continue;
         const bool open = !config->withdrawnDomains.contains(session.info.failureDomain);
         const bool refusing
             = worker->refusedAt != time_point{} && now - worker->refusedAt < m_services.rules.refusalPause;
@@ -216,6 +221,15 @@
     return usable;
 }
 
+bool job_owner::tooManyQuarantined(time_point now) const
+{
+    const auto quarantined = std::count_if(m_workers.begin(), m_workers.end(), [now](const auto &entry) {
+        return placement::isQuarantined(entry.second->conduct.health, now);
+    });
+    return static_cast<double>(quarantined)
+        > m_services.rules.conduct.largestQuarantinedShare * static_cast<double>(m_workers.size());
+}
+
 //! Processor time that tasks that fill leave unused because they were slowed.
 std::int64_t job_owner::pacedMillicores(const driven_worker &worker, const jobs::worker_load &load) const
 {
@@ -301,6 +315,7 @@
         if (now - m_modelRefreshedAt > m_services.rules.modelInterval) {
             jobs::refreshModel(m_interference.model, m_interference.rules.learning,
                                now - m_services.rules.loadValidity);
+            jobs::forgetEndedKin(m_kin, m_book);
             m_modelRefreshedAt = now;
         }
         co_await kernel::sleepFor(m_services.rules.tickInterval);
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -3,6 +3,7 @@
 #include "fleet/owner_election.h"
 #include "jobs/interference.h"
 #include "jobs/planner.h"
+#include "jobs/worker_conduct.h"
 #include "jobs/worker_port.h"
 #include "jobs/worker_session.h"
 #include "kernel/completion.h"
@@ -58,6 +59,7 @@
     //! What is known of a serving job's load is forgotten when no figure has come for this long.
     milliseconds loadValidity{10'000};
     jobs::session_rules sessions;
+    jobs::conduct_rules conduct;
 };
 
 //! What an owner needs from the rest of its process.
@@ -131,6 +133,7 @@
         kernel::wake_signal signal;
         time_point refusedAt{};
         jobs::pace_state pace;
+        jobs::worker_conduct conduct;
         bool driving = false;
     };
     //! How far the start of one run has come.
@@ -163,12 +166,14 @@
     batch prepareBatch(time_point now);
     bool mayStart(time_point now) const;
     std::vector<jobs::candidate> candidates(time_point now) const;
+    bool tooManyQuarantined(time_point now) const;
     std::int64_t pacedMillicores(const driven_worker &worker, const jobs::worker_load &load) const;
     void finishBatch(const batch &next);
     bool takeStartAnswer(driven_worker &worker, const jobs::ledger_record &record,
                          const jobs::order_answer &answer, const start_attempt &attempt);
     void giveBack(driven_worker &worker, const jobs::ledger_record &record, const std::string &reason);
     void observe(std::vector<jobs::ledger_record> records);
+    void judgeWorker(driven_worker &worker, const jobs::look_answer &answer, time_point now);
     void stopUnwanted(const driven_ptr &worker);
     void paceFills(const driven_ptr &worker, time_point now);
     kernel::task<void> orderPace(self_ptr self, driven_ptr worker, jobs::pace_order order);
@@ -184,6 +189,7 @@
     jobs::ledger m_book;
     jobs::interference_view m_interference;
     time_point m_modelRefreshedAt{};
+    jobs::kin_durations m_kin;
     std::uint64_t m_index = 0;
     std::uint64_t m_submission = 0;
     std::set<std::string> m_cancelled;
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -131,6 +131,7 @@
         co_return;
     }
     const bool first = !worker->session.fenced;
+    judgeWorker(*worker, answer, now);
     observe(jobs::takeLook(worker->session, answer, m_book, sentAt, now));
     stopUnwanted(worker);
     paceFills(worker, now);
@@ -138,6 +139,17 @@
         m_commitSignal.wake();
 }
 
+void job_owner::judgeWorker(driven_worker &worker, const jobs::look_answer &answer, time_point now)
+{
+    const int quarantines = worker.conduct.health.quarantines;
+    jobs::judgeLook(worker.conduct, m_kin, m_services.rules.conduct, worker.session, answer, m_book, now);
+    if (worker.conduct.health.quarantines > quarantines)
+        observe::log(log_level::warning, "worker gets no new work: its runs fail or are slow",
+                     {{"worker", worker.session.incarnation},
+                      {"quarantines", worker.conduct.health.quarantines},
+                      {"forMs", (worker.conduct.health.quarantinedUntil - now).count()}});
+}
+
 void job_owner::stopUnwanted(const driven_ptr &worker)
 {
     for (const jobs::unwanted_run &run : jobs::unwantedRuns(worker->session, m_book)) {
--- /dev/null
+++ b/src/jobs/worker_conduct.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "jobs/worker_session.h"
+#include "placement/worker_health.h"
+
+#include <map>
+#include <set>
+#include <utility>
+
+namespace almond::jobs {
+
+using placement::run_evidence;
+using placement::worker_health;
+
+//! Bounds of what the runs on a worker tell about it.
+struct conduct_rules
+{
+    //! Two failures within a few runs quarantine a worker: few runs end on it in the time that its trouble
+    //! lasts, and a task has only two or three attempts.
+    placement::quarantine_rules quarantine{0.14, 1.5, milliseconds(2000), milliseconds(60'000)};
+    //! Failures of one step that count against workers; a step that fails more often than it succeeds after
+    //! these has a fault of its own.
+    std::uint32_t tellingFailures = 2;
+    //! Ends of a step's tasks that make a duration to compare with.
+    std::uint32_t kinNeeded = 3;
+    //! A run is slow when it takes this many times as long as its kin.
+    double slowFactor = 2.0;
+    //! A run is not slow by less than this, which covers the delay of its reports.
+    milliseconds slowMargin{400};
+    //! When more than this share of the workers is quarantined, the cause lies elsewhere and all are used.
+    double largestQuarantinedShare = 0.34;
+};
+
+//! How long the tasks of one step take.
+struct kin_duration
+{
+    std::uint32_t ends = 0;
+    milliseconds sum{0};
+};
+
+//! Durations by step; each is named by its first task.
+using kin_durations = std::map<task_name, kin_duration>;
+
+//! What the runs on one life of a worker tell about it.
+struct worker_conduct
+{
+    worker_health health;
+    //! Runs that were found slow, each counted once.
+    std::set<std::pair<task_name, std::uint32_t>> slowRuns;
+};
+
+//! What the failure of \a task says of its worker, before it is applied to \a book.
+run_evidence failureEvidence(const ledger &book, const conduct_rules &rules, const task_name &task);
+
+//! Whether a run of \a task that has lasted \a elapsed on \a worker is slow beside \a kin. Durations of steps
+//! whose speed depends on their neighbours or members, or of runs away from their data, don't compare.
+bool isSlowRun(const ledger &book, const kin_durations &kin, const conduct_rules &rules,
+               const worker_info &worker, const task_name &task, milliseconds elapsed);
+
+//! Takes one look's new ends and running tasks into \a conduct and \a kin. Call it before the look is taken
+//! into \a session and \a book.
+void judgeLook(worker_conduct &conduct, kin_durations &kin, const conduct_rules &rules,
+               const worker_session &session, const look_answer &answer, const ledger &book, time_point now);
+
+//! Forgets the durations of steps whose jobs have ended.
+void forgetEndedKin(kin_durations &kin, const ledger &book);
+
+} // namespace almond::jobs
--- a/src/placement/cell_owner.cpp
+++ b/src/placement/cell_owner.cpp
@@ -254,8 +254,8 @@
         return;
     const auto worker = m_workers.find(job->second.worker);
     if (worker != m_workers.end())
-        recordEnd(worker->second->health, m_services.settings.quarantine, ended.id.job, ended.outcome,
-                  job->second.failures, m_services.clock());
+        recordEvidence(worker->second->health, m_services.settings.quarantine,
+                       evidenceOf(ended.outcome, job->second.failures), m_services.clock());
 }
 
 task<bool> cell_owner::appendBatch(const batch &next)
--- a/src/placement/worker_health.cpp
+++ b/src/placement/worker_health.cpp
@@ -10,22 +10,32 @@
 
 } // namespace
 
-void recordEnd(worker_health &health, const quarantine_rules &rules, const std::string &job,
-               attempt_outcome outcome, std::uint32_t failuresBefore, time_point now)
+run_evidence evidenceOf(attempt_outcome outcome, std::uint32_t failuresBefore)
 {
-    if (outcome == attempt_outcome::done) {
-        health.failedJobs.clear();
-        health.quarantines = 0;
+    if (outcome == attempt_outcome::done)
+        return run_evidence::success;
+    const bool tells = outcome == attempt_outcome::failed && failuresBefore == 0;
+    return tells ? run_evidence::failure : run_evidence::none;
+}
+
+void recordEvidence(worker_health &health, const quarantine_rules &rules, run_evidence evidence,
+                    time_point now)
+{
+    if (evidence == run_evidence::none)
         return;
-    }
-    if (outcome != attempt_outcome::failed || failuresBefore > 0)
+    if (evidence == run_evidence::success) {
+        health.doubt = std::max(0.0, health.doubt - rules.successTrust);
+        if (health.doubt == 0.0)
+            health.quarantines = 0;
         return;
-    health.failedJobs.insert(job);
-    if (health.failedJobs.size() < rules.jobs)
+    }
+    health.doubt += 1.0;
+    // Runs that were under way when the quarantine began tell nothing new.
+    if (health.doubt <= rules.limit || isQuarantined(health, now))
         return;
     const int shift = std::min(health.quarantines, longestBackoffShift);
     health.quarantinedUntil = now + std::min(rules.longestPause, rules.firstPause * (1 << shift));
-    health.failedJobs.clear();
+    health.doubt = rules.limit;
     ++health.quarantines;
 }
 
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -285,9 +285,10 @@
     worker_health health;
     const quarantine_rules rules;
     const time_point now = kernel::fromMillis(1000);
-    for (const char *job : {"a", "b", "c"}) {
+    constexpr int differentJobs = 3;
+    for (int job = 0; job < differentJobs; ++job) {
         EXPECT_FALSE(isQuarantined(health, now));
-        recordEnd(health, rules, job, attempt_outcome::failed, 0, now);
+        recordEvidence(health, rules, evidenceOf(attempt_outcome::failed, 0), now);
     }
     EXPECT_TRUE(isQuarantined(health, now));
     EXPECT_FALSE(isQuarantined(health, now + rules.firstPause));
@@ -299,7 +300,31 @@
     const quarantine_rules rules;
     const time_point now = kernel::fromMillis(1000);
     for (int time = 0; time < 10; ++time)
-        recordEnd(health, rules, "bad", attempt_outcome::failed, time, now);
+        recordEvidence(health, rules, evidenceOf(attempt_outcome::failed, static_cast<std::uint32_t>(time)),
+                       now);
+    EXPECT_FALSE(isQuarantined(health, now));
+}
+
+TEST(Quarantine, WorkerThatFailsAfterItsPauseIsLeftOutForTwiceAsLong)
+{
+    worker_health health;
+    const quarantine_rules rules;
+    const time_point now = kernel::fromMillis(1000);
+    for (int run = 0; run < 3; ++run)
+        recordEvidence(health, rules, run_evidence::failure, now);
+    const time_point released = now + rules.firstPause;
+    recordEvidence(health, rules, run_evidence::failure, released);
+    EXPECT_TRUE(isQuarantined(health, released + rules.firstPause));
+    EXPECT_FALSE(isQuarantined(health, released + 2 * rules.firstPause));
+}
+
+TEST(Quarantine, FewFailuresAmongManySuccessesLeaveAWorkerInUse)
+{
+    worker_health health;
+    const quarantine_rules rules;
+    const time_point now = kernel::fromMillis(1000);
+    for (int run = 0; run < 400; ++run)
+        recordEvidence(health, rules, run % 20 == 0 ? run_evidence::failure : run_evidence::success, now);
     EXPECT_FALSE(isQuarantined(health, now));
 }
 
--- /dev/null
+++ b/tests/unit/worker_conduct_test.cpp
@@ -0,0 +1,188 @@
+#include "jobs/worker_conduct.h"
+
+#include "tests/unit/job_fixtures.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+//! What the ends of runs tell of their workers. The patterns: a few workers that fail two runs in five and,
+//! since they are soon free again, draw ever more tasks until jobs run out of attempts; and workers that
+//! turn slow under steps of equal tasks.
+namespace {
+
+using namespace almond;
+using jobs::run_end;
+
+constexpr const char *jobId = "00000000000000aa";
+
+kernel::time_point at(std::int64_t ms)
+{
+    return kernel::fromMillis(ms);
+}
+
+//! One worker that runs tasks of one step after the other.
+struct watched_worker
+{
+    jobs::conduct_rules rules;
+    jobs::ledger book;
+    jobs::kin_durations kin;
+    jobs::worker_conduct conduct;
+    jobs::worker_session session;
+    std::uint64_t ends = 0;
+
+    explicit watched_worker(jobs::step_spec spec = tests::step(20, 100))
+    {
+        spec.count = 20;
+        jobs::addJob(book, tests::makeJob(jobId, {spec}));
+        session = jobs::openSession(tests::worker("w"), at(0));
+    }
+
+    jobs::task_name task(std::uint32_t index) const { return {jobId, 0, 0, index}; }
+
+    void start(std::uint32_t index, std::int64_t ms)
+    {
+        jobs::apply(book, tests::started(task(index), 1, "w@1"));
+        session.accepted[task(index)] = {1, at(ms)};
+    }
+
+    void end(std::uint32_t index, run_end how, std::int64_t ms)
+    {
+        jobs::look_answer answer;
+        answer.result.outcome = jobs::order_outcome::accepted;
+        answer.bornMs = 1;
+        answer.ended.push_back({++ends, task(index), 1, how, ""});
+        take(answer, ms);
+    }
+
+    void showRunning(std::uint32_t index, std::int64_t ms)
+    {
+        jobs::look_answer answer;
+        answer.result.outcome = jobs::order_outcome::accepted;
+        answer.bornMs = 1;
+        answer.running.push_back({task(index), 1, "", 50, 100});
+        take(answer, ms);
+    }
+
+    void take(const jobs::look_answer &answer, std::int64_t ms)
+    {
+        jobs::judgeLook(conduct, kin, rules, session, answer, book, at(ms));
+        for (const auto &record : jobs::takeLook(session, answer, book, at(ms), at(ms)))
+            jobs::apply(book, record);
+    }
+
+    //! Three tasks end well after \a ms each.
+    void learnDuration(std::int64_t ms)
+    {
+        for (std::uint32_t index = 0; index < 3; ++index) {
+            start(index, 0);
+            end(index, run_end::done, ms);
+        }
+    }
+
+    bool quarantined(std::int64_t ms) const { return placement::isQuarantined(conduct.health, at(ms)); }
+};
+
+TEST(WorkerConduct, TwoFailuresAmongFewRunsQuarantineTheWorker)
+{
+    watched_worker world;
+    const std::vector<run_end> ends{run_end::failed, run_end::done, run_end::failed};
+    for (std::uint32_t index = 0; index < ends.size(); ++index) {
+        EXPECT_FALSE(world.quarantined(100 + index));
+        world.start(index, 0);
+        world.end(index, ends[index], 100 + index);
+    }
+    EXPECT_TRUE(world.quarantined(120));
+}
+
+TEST(WorkerConduct, AStepThatFailsEverywhereSpeaksAgainstNoWorker)
+{
+    watched_worker world;
+    // Elsewhere two tasks have failed and none has succeeded.
+    for (std::uint32_t index = 10; index < 12; ++index) {
+        jobs::apply(world.book, tests::started(world.task(index), 1, "other@1"));
+        jobs::apply(world.book, tests::ended(world.task(index), 1, run_end::failed));
+    }
+    for (std::uint32_t index = 0; index < 6; ++index) {
+        world.start(index, 0);
+        world.end(index, run_end::failed, 100);
+    }
+    EXPECT_FALSE(world.quarantined(100));
+}
+
+TEST(WorkerConduct, AnEndThatIsListedAgainCountsOnce)
+{
+    watched_worker world;
+    world.start(0, 0);
+    jobs::look_answer answer;
+    answer.result.outcome = jobs::order_outcome::accepted;
+    answer.bornMs = 1;
+    answer.ended.push_back({1, world.task(0), 1, run_end::failed, ""});
+    for (int look = 0; look < 5; ++look)
+        world.take(answer, 100 + look);
+    EXPECT_FALSE(world.quarantined(105));
+}
+
+TEST(WorkerConduct, ARunThatOutlastsItsKinIsSlowAndCountsOnce)
+{
+    watched_worker world;
+    world.learnDuration(1000);
+    const double trusted = world.conduct.health.doubt;
+    world.start(5, 2000);
+    world.showRunning(5, 3900);
+    EXPECT_EQ(world.conduct.health.doubt, trusted);
+    world.showRunning(5, 4100);
+    world.showRunning(5, 4600);
+    EXPECT_EQ(world.conduct.health.doubt, trusted + 1.0);
+}
+
+TEST(WorkerConduct, AWorkerWithTwoSlowRunsGetsNoNewWork)
+{
+    watched_worker world;
+    world.learnDuration(1000);
+    world.start(5, 2000);
+    world.start(6, 2000);
+    world.showRunning(5, 4100);
+    world.showRunning(6, 4100);
+    EXPECT_TRUE(world.quarantined(4100));
+}
+
+TEST(WorkerConduct, ASlowRunThatEndsWellDoesNotRestoreTrust)
+{
+    watched_worker world;
+    world.learnDuration(1000);
+    world.start(5, 2000);
+    world.showRunning(5, 4100);
+    const double doubt = world.conduct.health.doubt;
+    world.end(5, run_end::done, 6000);
+    EXPECT_EQ(world.conduct.health.doubt, doubt);
+}
+
+TEST(WorkerConduct, TasksThatFillOrRunAwayFromTheirDataAreNotCompared)
+{
+    jobs::step_spec fills = tests::step(20, 100);
+    fills.fills = true;
+    jobs::step_spec away = tests::step(20, 100);
+    away.dataRack = "r9";
+    for (const jobs::step_spec &spec : {fills, away}) {
+        watched_worker world(spec);
+        world.learnDuration(1000);
+        world.start(5, 2000);
+        world.start(6, 2000);
+        world.showRunning(5, 9000);
+        world.showRunning(6, 9000);
+        EXPECT_FALSE(world.quarantined(9000));
+    }
+}
+
+TEST(WorkerConduct, DurationsOfEndedJobsAreForgotten)
+{
+    watched_worker world;
+    world.learnDuration(1000);
+    EXPECT_EQ(world.kin.size(), 1U);
+    jobs::cancelJob(world.book, jobId);
+    jobs::forgetEndedKin(world.kin, world.book);
+    EXPECT_TRUE(world.kin.empty());
+}
+
+} // namespace
