--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -81,6 +81,7 @@
     if (!m_cancelled.insert(id).second || !m_loaded)
         return;
     const bool cancelled = jobs::cancelJob(m_book, id);
+    jobs::closeAccounts(m_accounts, m_book, id);
     observe::log(log_level::info, "job cancelled", {{"job", id}, {"wasOpen", cancelled}});
     for (const auto &[incarnation, load] : m_book.loads) {
         const auto worker = m_workers.find(incarnation);
@@ -186,9 +187,33 @@
     }
     for (const ledger_record &record : next.records)
         m_undurable.insert(record.task.job);
+    accountFor(next.records, now);
     return next;
 }
 
+void job_owner::accountFor(const std::vector<ledger_record> &records, time_point now)
+{
+    std::set<std::string> touched;
+    for (const ledger_record &record : records) {
+        jobs::noteRecord(m_accounts, m_book, record, now);
+        touched.insert(record.task.job);
+    }
+    for (const std::string &id : touched) {
+        const auto owner = m_book.jobs.find(id);
+        if (owner == m_book.jobs.end() || !jobs::isFinal(owner->second.status))
+            continue;
+        const jobs::job &spec = owner->second.spec;
+        for (const auto &[occurrence, times] : jobs::closeAccounts(m_accounts, m_book, id))
+            observe::log(log_level::info, "job ended",
+                         {{"job", id},
+                          {"occurrence", occurrence},
+                          {"queue", spec.queue},
+                          {"status", jobs::statusName(owner->second.status)},
+                          {"tookMs", kernel::toMillis(m_services.unixClock()) - spec.acceptedAtMs},
+                          {"steps", jobs::describeAccount(times, spec)}});
+    }
+}
+
 bool job_owner::mayStart(time_point now) const
 {
     return now - m_services.configConfirmedAt() < m_services.rules.configValidity
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -2,6 +2,7 @@
 
 #include "fleet/owner_election.h"
 #include "jobs/interference.h"
+#include "jobs/job_account.h"
 #include "jobs/planner.h"
 #include "jobs/worker_conduct.h"
 #include "jobs/worker_port.h"
@@ -169,6 +170,7 @@
     bool tooManyQuarantined(time_point now) const;
     std::int64_t pacedMillicores(const driven_worker &worker, const jobs::worker_load &load) const;
     void finishBatch(const batch &next);
+    void accountFor(const std::vector<jobs::ledger_record> &records, time_point now);
     bool takeStartAnswer(driven_worker &worker, const jobs::ledger_record &record,
                          const jobs::order_answer &answer, const start_attempt &attempt);
     void giveBack(driven_worker &worker, const jobs::ledger_record &record, const std::string &reason);
@@ -190,6 +192,7 @@
     jobs::interference_view m_interference;
     time_point m_modelRefreshedAt{};
     jobs::kin_durations m_kin;
+    jobs::job_accounts m_accounts;
     std::uint64_t m_index = 0;
     std::uint64_t m_submission = 0;
     std::set<std::string> m_cancelled;
--- /dev/null
+++ b/src/jobs/job_account.cpp
@@ -0,0 +1,83 @@
+#include "jobs/job_account.h"
+
+#include <algorithm>
+
+namespace almond::jobs {
+
+namespace {
+
+using nlohmann::json;
+
+time_point readyAt(const occurrence_times &times, const step_spec &spec)
+{
+    time_point ready = times.knownSince;
+    for (const std::uint32_t earlier : spec.after)
+        ready = std::max(ready, times.steps[earlier].newestEnd);
+    return ready;
+}
+
+} // namespace
+
+void noteRecord(job_accounts &accounts, const ledger &book, const ledger_record &record, time_point now)
+{
+    const auto owner = book.jobs.find(record.task.job);
+    if (record.kind == record_kind::gaveUp || owner == book.jobs.end())
+        return;
+    const bool cancelled = owner->second.status == job_status::cancelled;
+    if (cancelled && !accounts.contains({record.task.job, record.task.occurrence}))
+        return;
+    occurrence_times &times = accounts[{record.task.job, record.task.occurrence}];
+    if (times.steps.empty()) {
+        times.knownSince = now;
+        times.steps.resize(owner->second.spec.steps.size());
+    }
+    step_times &step = times.steps[record.task.step];
+    if (record.kind == record_kind::started) {
+        if (step.firstStart == time_point{})
+            step.firstStart = now;
+        step.newestStart = now;
+        ++step.starts;
+        return;
+    }
+    step.newestEnd = now;
+    step.failures += record.end == run_end::failed ? 1 : 0;
+    step.repeats += record.end != run_end::failed && record.end != run_end::done ? 1 : 0;
+}
+
+json describeAccount(const occurrence_times &times, const job &spec)
+{
+    json steps = json::array();
+    for (std::size_t index = 0; index < times.steps.size(); ++index) {
+        const step_times &step = times.steps[index];
+        const step_spec &asked = spec.steps[index];
+        const time_point ready = readyAt(times, asked);
+        steps.push_back(
+            {{"count", asked.count},
+             {"fills", asked.fills},
+             {"gang", asked.gang},
+             {"declaredMs", asked.declaredDuration.count()},
+             {"waitMs", std::max<std::int64_t>(0, (step.firstStart - ready).count())},
+             {"spreadMs", (step.newestStart - step.firstStart).count()},
+             {"lastRunMs", (step.newestEnd - std::max(step.newestStart, times.knownSince)).count()},
+             {"starts", step.starts},
+             {"failures", step.failures},
+             {"repeats", step.repeats}});
+    }
+    return steps;
+}
+
+std::vector<std::pair<std::uint32_t, occurrence_times>>
+closeAccounts(job_accounts &accounts, const ledger &book, const std::string &job)
+{
+    std::vector<std::pair<std::uint32_t, occurrence_times>> closed;
+    const auto owner = book.jobs.find(job);
+    const bool ended = owner == book.jobs.end() || isFinal(owner->second.status);
+    const auto first = accounts.lower_bound({job, 0});
+    auto last = first;
+    for (; ended && last != accounts.end() && last->first.first == job; ++last)
+        closed.emplace_back(last->first.second, std::move(last->second));
+    accounts.erase(first, last);
+    return closed;
+}
+
+} // namespace almond::jobs
