Clear the office of a killed owner that is back, and find a returned store sooner

Ruled out: candidates' delay (under 0.3 s), starting processes (0.5 s). Change: a process that finds its own address in the owner's key, without being the owner, removes that key, bound to its revision; only one process can listen at an address. After a call without an answer a follower asks with watches that don't wait, until the store answers. Tests: three in owner_election_test, for the two patterns.

--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -255,11 +255,24 @@
             co_await keepOffice();
         else if (m_ownerKeys->isListed() && m_ownerView.address.empty())
             co_await runForOffice();
+        else if (m_ownerKeys->isListed() && fleet::isFormerSelf(m_ownerView, m_settings.peerAddress))
+            co_await clearFormerOffice();
         else
             co_await m_electionSignal->wait(m_election.renewInterval);
     }
 }
 
+task<void> node_daemon::clearFormerOffice()
+{
+    const std::int64_t revision = m_ownerView.ownerRevision;
+    observe::log(log_level::info, "office of an earlier life of this process cleared",
+                 {{"term", m_ownerView.term}, {"revision", revision}});
+    co_await fleet::clearOffice(m_platform.store, m_ownerView);
+    // The store's answer comes before the follower has seen the change.
+    if (m_ownerView.ownerRevision == revision)
+        co_await m_electionSignal->wait(m_election.renewInterval);
+}
+
 task<void> node_daemon::runForOffice()
 {
     std::uniform_real_distribution<double> draw(0.0, 1.0);
--- a/src/daemon/node_daemon.h
+++ b/src/daemon/node_daemon.h
@@ -62,6 +62,7 @@
     void openOperators();
     kernel::task<http::reply> answerOperator(http::request asked);
     kernel::task<void> electionLoop();
+    kernel::task<void> clearFormerOffice();
     kernel::task<void> runForOffice();
     kernel::task<void> keepOffice();
     kernel::task<void> enterOffice(std::shared_ptr<fleet::job_owner> owner);
--- a/src/fleet/owner_election.cpp
+++ b/src/fleet/owner_election.cpp
@@ -61,6 +61,19 @@
     co_return reply.status == store_status::absent ? renewal::lost : renewal::unknown;
 }
 
+bool isFormerSelf(const owner_view &view, const std::string &address)
+{
+    return !view.address.empty() && view.address == address;
+}
+
+task<void> clearOffice(store::store_api store, owner_view view)
+{
+    store::conditional_change change;
+    change.expected.push_back({election_key::owner, view.ownerRevision});
+    change.removals.push_back(election_key::owner);
+    co_await store.commit(change);
+}
+
 task<void> leaveOffice(store::store_api store, won_term term)
 {
     co_await store.revokeLease(term.lease);
--- a/src/fleet/owner_election.h
+++ b/src/fleet/owner_election.h
@@ -71,6 +71,13 @@
 
 kernel::task<renewal> renewOffice(store::store_api store, won_term term);
 
+//! Tells whether \a view names an earlier life of the process at \a address, which is no owner itself. Only
+//! one process can listen there, so the earlier one is gone, however long its lease still runs.
+bool isFormerSelf(const owner_view &view, const std::string &address);
+
+//! Takes the owner that \a view names out of the store, unless another one has come in the meantime.
+kernel::task<void> clearOffice(store::store_api store, owner_view view);
+
 //! Gives the office back at once, so that a candidate needs not wait for the lease.
 kernel::task<void> leaveOffice(store::store_api store, won_term term);
 
--- a/src/store/prefix_follower.cpp
+++ b/src/store/prefix_follower.cpp
@@ -18,14 +18,13 @@
 
 task<void> prefix_follower::run()
 {
-    bool answered = true;
     while (!m_stopping) {
         const bool listing = !m_listed;
         const bool ok = listing ? co_await list() : co_await watchOnce();
-        if (ok != answered)
+        if (ok != m_answered)
             observe::log(ok ? observe::log_level::info : observe::log_level::warning,
                          ok ? "store answers again" : "store does not answer", {{"prefix", m_prefix}});
-        answered = ok;
+        m_answered = ok;
         if (!ok)
             co_await kernel::sleepFor(m_rules.retryPause);
     }
@@ -73,7 +72,8 @@
 task<bool> prefix_follower::watchOnce()
 {
     const kernel::time_point begun = m_clock();
-    const watch_reply reply = co_await m_store.watch(m_prefix, m_revision, m_rules.watchTime);
+    const kernel::milliseconds wait = m_answered ? m_rules.watchTime : m_rules.probeTime;
+    const watch_reply reply = co_await m_store.watch(m_prefix, m_revision, wait);
     if (reply.status == store_status::conflict) {
         m_listed = false;
         co_return true;
--- a/src/store/prefix_follower.h
+++ b/src/store/prefix_follower.h
@@ -13,6 +13,9 @@
 {
     //! How long one watch waits. A connection that has gone silent is noticed at most this much later.
     kernel::milliseconds watchTime{2000};
+    //! How long a watch waits after a call without an answer: the return of a silent store is noticed with
+    //! the first call that it answers, so calls must end soon.
+    kernel::milliseconds probeTime{0};
     //! Pause after a call without an answer.
     kernel::milliseconds retryPause{100};
     //! Pause after changes, so that those that come together cost one call.
@@ -55,6 +58,8 @@
     std::set<std::string> m_known;
     std::int64_t m_revision = 0;
     bool m_listed = false;
+    //! Whether the store answered the newest call.
+    bool m_answered = true;
     bool m_stopping = false;
     kernel::time_point m_confirmedAt{};
 };
--- a/tests/fakes/shared_store.h
+++ b/tests/fakes/shared_store.h
@@ -24,6 +24,7 @@
         };
         api.watch = [this](std::string prefix, std::int64_t after,
                            kernel::milliseconds wait) -> kernel::task<store::watch_reply> {
+            watchWaits.push_back(wait);
             if (beforeWatch)
                 beforeWatch();
             if (after >= m_forgotten && !hasChanges(prefix, after))
@@ -87,6 +88,8 @@
     int loseAnswers = 0;
     bool down = false;
     std::function<void()> beforeWatch;
+    //! How long each watch was to wait.
+    std::vector<kernel::milliseconds> watchWaits;
 
 private:
     struct entry
--- a/tests/unit/owner_election_test.cpp
+++ b/tests/unit/owner_election_test.cpp
@@ -30,6 +30,11 @@
         return won;
     }
 
+    void clear(const fleet::owner_view &view)
+    {
+        tests::runToEnd(context, fleet::clearOffice(store.api(), view));
+    }
+
     store::append_result append(const fleet::won_term &term, std::uint64_t index,
                                 const std::string &submission)
     {
@@ -58,6 +63,38 @@
     EXPECT_EQ(first->term, 1U);
 }
 
+//! Pattern: all processes are killed and start again at once, long before the lease of the owner ends.
+TEST(OwnerElection, AnOwnerThatStartedAgainClearsTheOfficeOfItsEarlierLife)
+{
+    meeting all;
+    const auto first = all.run("a:1", {});
+    ASSERT_TRUE(first);
+    fleet::owner_view view{"a:1", 1, first->ownerRevision, all.store.revisionOf(fleet::election_key::term)};
+    EXPECT_TRUE(fleet::isFormerSelf(view, "a:1"));
+    EXPECT_FALSE(fleet::isFormerSelf(view, "b:1"));
+    all.clear(view);
+    view.address.clear();
+    view.ownerRevision = 0;
+    const auto second = all.run("b:1", view);
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->term, 2U);
+}
+
+TEST(OwnerElection, AnOldViewDoesNotClearTheOfficeOfALaterOwner)
+{
+    meeting all;
+    const auto first = all.run("a:1", {});
+    ASSERT_TRUE(first);
+    const fleet::owner_view old{"a:1", 1, first->ownerRevision, 0};
+    all.store.erase(fleet::election_key::owner);
+    fleet::owner_view view;
+    view.term = 1;
+    view.termRevision = all.store.revisionOf(fleet::election_key::term);
+    ASSERT_TRUE(all.run("b:1", view));
+    all.clear(old);
+    EXPECT_GT(all.store.revisionOf(fleet::election_key::owner), first->ownerRevision);
+}
+
 TEST(OwnerElection, AStrongerHostComesFirst)
 {
     const fleet::election_rules rules;
@@ -119,4 +156,27 @@
     EXPECT_EQ(seen, (std::map<std::string, std::string>{{"p/2", "two"}}));
 }
 
+//! Pattern: the store goes silent for seconds, the owner's lease ends meanwhile, and the store returns while
+//! every follower still waits for the answer to a long watch that was lost.
+TEST(PrefixFollower, AfterACallWithoutAnAnswerItAsksShortlyUntilTheStoreAnswers)
+{
+    meeting all;
+    store::follow_rules rules;
+    rules.retryPause = kernel::milliseconds(1);
+    store::prefix_follower *running = nullptr;
+    all.store.beforeWatch = [&] {
+        const std::size_t number = all.store.watchWaits.size();
+        all.store.down = number == 2 || number == 3;
+        if (number == 5)
+            running->stop();
+    };
+    store::prefix_follower follower(all.store.api(), [] { return kernel::fromMillis(1); }, "p/", rules, {});
+    running = &follower;
+    tests::runToEnd(all.context,
+                    [](store::prefix_follower &target) -> task<void> { co_await target.run(); }(follower));
+    const std::vector<kernel::milliseconds> expected{rules.watchTime, rules.watchTime, rules.probeTime,
+                                                     rules.probeTime, rules.watchTime};
+    EXPECT_EQ(all.store.watchWaits, expected);
+}
+
 } // namespace
