Keep what is learned of images in the store for the next owner

Cause: each change of owner began with the same assumption about all pairs of images; the bad ones were learned anew by halting neighbours. Change: the owner writes the learned slack by pair every 2 s when it has changed, bound to its office; the next one takes it as the prior of its fit, which its own samples overrule.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -1,6 +1,7 @@
 #include "fleet/job_owner.h"
 
 #include "jobs/job_codec.h"
+#include "jobs/pair_memory.h"
 #include "observe/log.h"
 
 #include <algorithm>
@@ -21,11 +22,8 @@
 {
 }
 
-task<bool> job_owner::load()
+void job_owner::followJobs()
 {
-    store::journal_entries journal = co_await store::readFenced(m_services.store, job_key::journal, 0);
-    if (journal.status != store::store_status::ok)
-        co_return false;
     const auto self = shared_from_this();
     store::follow_events events;
     events.written = [self](const store::stored_item &item) { self->takeJobKey(item); };
@@ -39,6 +37,17 @@
                   [](std::shared_ptr<store::prefix_follower> follower) -> task<void> {
                       co_await follower->run();
                   }(m_jobs));
+}
+
+task<bool> job_owner::load()
+{
+    if (!m_jobs)
+        followJobs();
+    store::journal_entries journal = co_await store::readFenced(m_services.store, job_key::journal, 0);
+    if (journal.status != store::store_status::ok)
+        co_return false;
+    const milliseconds journalRead = m_services.clock() - m_since;
+    co_await loadPairs();
     while (!m_jobs->isListed() && !m_over)
         co_await m_commitSignal.wait(m_services.rules.tickInterval);
     std::size_t skipped = 0;
@@ -52,6 +61,7 @@
         jobs::cancelJob(m_book, id);
     observe::log(log_level::info, "jobs loaded",
                  {{"term", m_term.term},
+                  {"journalReadMs", journalRead.count()},
                   {"entries", journal.entries.size()},
                   {"jobs", m_book.jobs.size()},
                   {"skippedRecords", skipped},
@@ -59,6 +69,40 @@
     co_return !m_over;
 }
 
+task<void> job_owner::loadPairs()
+{
+    const store::store_reply reply = co_await m_services.store.get(job_key::pairs);
+    std::size_t taken = 0;
+    if (reply.status == store::store_status::ok)
+        taken = jobs::inheritPairs(m_interference.model, json::parse(reply.value, nullptr, false));
+    observe::log(log_level::info, "learned pairs of images loaded",
+                 {{"pairs", taken}, {"storeStatus", static_cast<int>(reply.status)}});
+}
+
+void job_owner::savePairsIfDue(time_point now)
+{
+    if (now - m_pairsSavedAt < m_services.rules.pairsInterval)
+        return;
+    m_pairsSavedAt = now;
+    std::string pairs = jobs::encodePairs(m_interference.model).dump();
+    if (pairs != m_savedPairs)
+        kernel::spawn(m_context.get_executor(), savePairs(shared_from_this(), std::move(pairs)));
+}
+
+//! A write that fails is made up for by the next one.
+task<void> job_owner::savePairs(self_ptr, std::string pairs)
+{
+    store::conditional_change change;
+    change.expected.push_back({election_key::owner, m_term.ownerRevision});
+    change.puts.push_back({job_key::pairs, pairs, ""});
+    const store::store_reply reply = co_await m_services.store.commit(change);
+    if (reply.status == store::store_status::ok)
+        m_savedPairs = std::move(pairs);
+    else
+        observe::log(log_level::info, "learned pairs of images not saved",
+                     {{"storeStatus", static_cast<int>(reply.status)}});
+}
+
 void job_owner::takeJobKey(const store::stored_item &item)
 {
     if (item.key.starts_with(job_key::cancelled)) {
@@ -341,6 +385,7 @@
         if (now - m_modelRefreshedAt > m_services.rules.modelInterval) {
             jobs::refreshModel(m_interference.model, m_interference.rules.learning,
                                now - m_services.rules.loadValidity);
+            savePairsIfDue(now);
             jobs::forgetEndedKin(m_kin, m_book);
             m_modelRefreshedAt = now;
         }
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -29,6 +29,8 @@
 inline constexpr const char *accepted = "almond/jobs/accepted/";
 inline constexpr const char *cancelled = "almond/jobs/cancelled/";
 inline constexpr const char *journal = "almond/journal";
+//! What is learned of pairs of images, for the next owner.
+inline constexpr const char *pairs = "almond/interference/pairs";
 } // namespace job_key
 
 struct owner_rules
@@ -59,6 +61,8 @@
     std::size_t startsPerCommit = 400;
     //! Time between two refreshes of what is learned of interference.
     milliseconds modelInterval{500};
+    //! Time between two writes of the learned pairs to the store; a new owner lacks at most this much.
+    milliseconds pairsInterval{2000};
     //! What is known of a serving job's load is forgotten when no figure has come for this long.
     milliseconds loadValidity{10'000};
     jobs::session_rules sessions;
@@ -161,6 +165,8 @@
     kernel::task<void> driveWorker(self_ptr self, driven_ptr worker);
     kernel::task<void> startTask(self_ptr self, driven_ptr worker, jobs::ledger_record record);
     kernel::task<void> stopRun(self_ptr self, driven_ptr worker, jobs::task_name task, std::uint32_t run);
+    kernel::task<void> loadPairs();
+    kernel::task<void> savePairs(self_ptr self, std::string pairs);
     kernel::task<bool> appendBatch(const batch &next);
     kernel::task<void> lookOnce(driven_ptr worker);
 
@@ -172,6 +178,8 @@
     bool tooManyQuarantined(time_point now) const;
     std::int64_t pacedMillicores(const driven_worker &worker, const jobs::worker_load &load) const;
     void finishBatch(const batch &next);
+    void followJobs();
+    void savePairsIfDue(time_point now);
     void accountFor(const std::vector<jobs::ledger_record> &records, time_point now);
     bool takeStartAnswer(driven_worker &worker, const jobs::ledger_record &record,
                          const jobs::order_answer &answer, const start_attempt &attempt);
@@ -193,6 +201,8 @@
     jobs::ledger m_book;
     jobs::interference_view m_interference;
     time_point m_modelRefreshedAt{};
+    time_point m_pairsSavedAt{};
+    std::string m_savedPairs;
     jobs::kin_durations m_kin;
     jobs::job_accounts m_accounts;
     std::uint64_t m_index = 0;
--- a/src/jobs/interference_model.cpp
+++ b/src/jobs/interference_model.cpp
@@ -49,13 +49,20 @@
     return solution;
 }
 
+//! What is assumed of a pair before samples of this owner tell.
+double priorOf(const image_fit &fit, const learning_rules &rules, std::size_t filling)
+{
+    const bool known = filling < fit.inherited.size() && fit.inherited[filling];
+    return known ? *fit.inherited[filling] : rules.priorSlackPerCore;
+}
+
 void solveFit(image_fit &fit, const learning_rules &rules)
 {
     const std::size_t size = fit.targets.size();
     std::vector<std::vector<double>> rows = fit.products;
     for (std::size_t row = 0; row < size; ++row) {
         rows[row][row] += rules.priorWeight;
-        rows[row].push_back(fit.targets[row] - rules.priorWeight * rules.priorSlackPerCore);
+        rows[row].push_back(fit.targets[row] - rules.priorWeight * priorOf(fit, rules, row));
     }
     const std::vector<double> weights = solve(std::move(rows));
     for (std::size_t image = 0; image < size; ++image)
@@ -67,7 +74,8 @@
     if (fit.targets.size() >= size)
         return;
     fit.targets.resize(size, 0.0);
-    fit.slackPerCore.resize(size, rules.priorSlackPerCore);
+    while (fit.slackPerCore.size() < size)
+        fit.slackPerCore.push_back(priorOf(fit, rules, fit.slackPerCore.size()));
     fit.products.resize(size);
     for (std::vector<double> &row : fit.products)
         row.resize(size, 0.0);
@@ -163,8 +171,8 @@
 double slackPerCore(const interference_model &model, const learning_rules &rules, image_number serving,
                     image_number filling)
 {
-    const std::vector<double> &known = model.fits.at(serving).slackPerCore;
-    return filling < known.size() ? known[filling] : rules.priorSlackPerCore;
+    const image_fit &fit = model.fits.at(serving);
+    return filling < fit.slackPerCore.size() ? fit.slackPerCore[filling] : priorOf(fit, rules, filling);
 }
 
 double slackTaken(const interference_model &model, const learning_rules &rules, image_number serving,
--- a/src/jobs/interference_model.h
+++ b/src/jobs/interference_model.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -43,6 +44,8 @@
     std::vector<double> targets;
     //! Solved from the sums: slack that one core of each image takes.
     std::vector<double> slackPerCore;
+    //! What an earlier owner had learned, in place of the general prior.
+    std::vector<std::optional<double>> inherited;
 };
 
 //! Weighted line through the newest samples of a value that changes with time.
