Place tasks that end before lasting ones of the same priority

Ruled out: reservations (no lasting task waited then), quarantine (261 of 262 workers in use). Change: tasks that end come first within a priority; a few lasting ones that have waited 3 s come before them and have workers kept free. The dump of an owner tells the room left and what waits for it.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -423,12 +423,46 @@
     return count;
 }
 
+json job_owner::describeRoom() const
+{
+    const time_point now = m_services.clock();
+    std::int64_t capacity = 0;
+    std::int64_t free = 0;
+    std::size_t usable = 0;
+    for (const jobs::candidate &worker : candidates(now)) {
+        ++usable;
+        capacity += worker.info.capacity.millicores;
+        free += worker.available.millicores;
+    }
+    std::uint32_t lasting = 0;
+    std::uint32_t fills = 0;
+    std::uint32_t firm = 0;
+    for (const std::string &id : m_book.withWaiting) {
+        const jobs::job_state &owner = m_book.jobs.find(id)->second;
+        for (const auto &[number, occurrence] : owner.occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                const jobs::step_spec &spec = owner.spec.steps[step];
+                const std::uint32_t waiting
+                    = jobs::isReady(owner, occurrence, step) ? occurrence.steps[step].waiting : 0;
+                (spec.lasting ? lasting : spec.fills ? fills : firm) += waiting;
+            }
+        }
+    }
+    return {{"usableWorkers", usable},   {"capacityMillicores", capacity}, {"freeMillicores", free},
+            {"waitingLasting", lasting}, {"waitingToFill", fills},         {"waitingFirm", firm}};
+}
+
 json job_owner::dump() const
 {
-    return {{"term", m_term.term},          {"journalIndex", m_index},
-            {"jobs", m_book.jobs.size()},   {"jobsWithWaitingTasks", m_book.withWaiting.size()},
-            {"workers", m_workers.size()},  {"busyWorkers", m_book.loads.size()},
-            {"starts", m_counters.starts},  {"looks", m_counters.looks},
+    return {{"room", describeRoom()},
+            {"term", m_term.term},
+            {"journalIndex", m_index},
+            {"jobs", m_book.jobs.size()},
+            {"jobsWithWaitingTasks", m_book.withWaiting.size()},
+            {"workers", m_workers.size()},
+            {"busyWorkers", m_book.loads.size()},
+            {"starts", m_counters.starts},
+            {"looks", m_counters.looks},
             {"commits", m_counters.commits}};
 }
 
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -126,6 +126,8 @@
     std::size_t pendingIn(const std::string &queue) const;
     std::size_t workerCount() const { return m_workers.size(); }
     json dump() const;
+    //! What the usable workers have left and what waits for it.
+    json describeRoom() const;
     json explain(const std::string &id) const;
     const owner_counters &counters() const { return m_counters; }
 
--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -15,11 +15,16 @@
 //! open to tasks that fill. A lower share crowds the serving tasks.
 constexpr std::int64_t servingUsePercent = 60;
 
+//! Lasting tasks wait for short ones of their priority for up to this long, in which a short one ends; then a
+//! few in each round, one for so many workers, come first and have workers kept free for them.
+constexpr milliseconds lastingPatience{3000};
+constexpr std::size_t workersPerReservation = 100;
+
 struct ready_step
 {
     int priority = 0;
     //! False sorts first.
-    bool ends = true;
+    bool lasting = false;
     standing prospect = standing::inTime;
     std::int64_t acceptedAtMs = 0;
     const job_state *owner = nullptr;
@@ -40,16 +45,16 @@
             const standing prospect = standingOf(owner, number, queue->second, unixNow);
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 if (occurrence.steps[step].waiting > 0 && isReady(owner, occurrence, step))
-                    ready.push_back({queue->second.priority, !owner.spec.steps[step].lasting, prospect,
+                    ready.push_back({queue->second.priority, owner.spec.steps[step].lasting, prospect,
                                      owner.spec.acceptedAtMs, &owner, number, step, &queue->second});
             }
         }
     }
     std::sort(ready.begin(), ready.end(), [](const ready_step &left, const ready_step &right) {
-        return std::tie(left.priority, left.ends, left.prospect, left.acceptedAtMs, left.owner->spec.id,
+        return std::tie(left.priority, left.lasting, left.prospect, left.acceptedAtMs, left.owner->spec.id,
                         left.occurrence, left.step)
-            < std::tie(right.priority, right.ends, right.prospect, right.acceptedAtMs, right.owner->spec.id,
-                       right.occurrence, right.step);
+            < std::tie(right.priority, right.lasting, right.prospect, right.acceptedAtMs,
+                       right.owner->spec.id, right.occurrence, right.step);
     });
     return ready;
 }
@@ -66,6 +71,8 @@
     //! Tasks placed in this round on each candidate, by step.
     std::map<std::pair<std::string, task_name>, std::uint32_t> placed;
     std::vector<ledger_record> records;
+    //! Lasting tasks that were placed before the others.
+    std::set<task_name> placedFirst;
     //! Kinds of tasks that found no room in this round, with the least demand that did not fit.
     std::map<task_kind, resources> hopeless;
 };
@@ -290,23 +297,55 @@
 void placeSingles(round_state &round, const ready_step &step, std::size_t limit)
 {
     const placing task = placingOf(round, step);
-    if (!task.spec->lasting && isHopeless(round, task))
+    if (isHopeless(round, task))
         return;
     const auto &tasks = step.owner->occurrences.at(step.occurrence).steps[step.step].tasks;
     for (std::uint32_t index = 0; index < tasks.size() && round.records.size() < limit; ++index) {
-        if (tasks[index].phase != task_phase::waiting)
+        task_name name = task.first;
+        name.index = index;
+        if (tasks[index].phase != task_phase::waiting || round.placedFirst.contains(name))
             continue;
         const std::ptrdiff_t chosen = chooseCandidate(round, task, {});
-        const bool lasting = task.spec->lasting;
-        if (chosen < 0 && lasting)
-            reserveFor(round, step);
-        if (chosen < 0 && !lasting) {
+        if (chosen < 0) {
             noteHopeless(round, task);
             return;
         }
-        if (chosen < 0)
+        place(round, task, index, tasks[index].run + 1, static_cast<std::size_t>(chosen));
+    }
+}
+
+//! Places a few lasting tasks of \a step that have waited long, or keeps workers free for them. Returns how
+//! many, at most \a most.
+std::size_t placeOrReserve(round_state &round, const ready_step &step, std::size_t most)
+{
+    const placing task = placingOf(round, step);
+    const auto &tasks = step.owner->occurrences.at(step.occurrence).steps[step.step].tasks;
+    std::size_t served = 0;
+    for (std::uint32_t index = 0; index < tasks.size() && served < most; ++index) {
+        if (tasks[index].phase != task_phase::waiting)
+            continue;
+        ++served;
+        const std::ptrdiff_t chosen = chooseCandidate(round, task, {});
+        if (chosen < 0) {
+            reserveFor(round, step);
             continue;
+        }
         place(round, task, index, tasks[index].run + 1, static_cast<std::size_t>(chosen));
+        task_name name = task.first;
+        name.index = index;
+        round.placedFirst.insert(name);
+    }
+    return served;
+}
+
+//! Without this a steady stream of short tasks would keep lasting ones from starting at all.
+void serveLongWaiting(round_state &round, std::span<const ready_step> ready, time_point unixNow)
+{
+    std::size_t left = 1 + round.candidates.size() / workersPerReservation;
+    for (const ready_step &step : ready) {
+        const milliseconds waited = unixNow - kernel::fromMillis(step.acceptedAtMs);
+        if (left > 0 && step.lasting && waited >= lastingPatience)
+            left -= placeOrReserve(round, step, left);
     }
 }
 
@@ -379,8 +418,10 @@
                                       std::vector<candidate> candidates, std::size_t limit,
                                       time_point unixNow)
 {
-    round_state round{book, interference, std::move(candidates), {}, {}, {}};
-    for (const ready_step &step : readySteps(book, config, unixNow)) {
+    round_state round{book, interference, std::move(candidates), {}, {}, {}, {}};
+    const std::vector<ready_step> ready = readySteps(book, config, unixNow);
+    serveLongWaiting(round, ready, unixNow);
+    for (const ready_step &step : ready) {
         if (round.records.size() >= limit)
             break;
         if (step.owner->spec.steps[step.step].gang)
--- a/src/jobs/planner.h
+++ b/src/jobs/planner.h
@@ -38,8 +38,9 @@
 //! Returns \a worker as a candidate with \a load taken off; \a load is null for an idle one.
 candidate makeCandidate(const worker_info &worker, const worker_load *load);
 
-//! Plans the next starts: by the queues' priority, lasting tasks first, then by time of acceptance. A step
-//! that does not fit is passed over; for a lasting one a worker is kept free of new batch tasks. Returns
+//! Plans the next starts: by the queues' priority, then tasks that end before lasting ones, which would keep
+//! the room that they take for good, then by time of acceptance. A step that does not fit is passed over; for
+//! a few lasting ones workers are kept free of new batch tasks, so that they get room too. Returns
 //! records of the kind started, at most about \a limit of them.
 std::vector<ledger_record> planStarts(const ledger &book, const fleet_config &config,
                                       const interference_view &interference,
