Give planning at most a quarter of an owner's time

Change: the next plan comes no sooner than four times what the last one took, from 20 to 150 ms. Test: CommitInterval in fleet_test, a free function without network.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -13,6 +13,12 @@
 using observe::log_level;
 using store::append_status;
 
+milliseconds commitIntervalAfter(const owner_rules &rules, milliseconds planning)
+{
+    return std::clamp(planning * rules.commitIntervalPerPlan, rules.commitInterval,
+                      rules.longestCommitInterval);
+}
+
 job_owner::job_owner(boost::asio::io_context &context, owner_services services, won_term term)
     : m_context(context)
     , m_services(std::move(services))
@@ -182,6 +188,7 @@
     while (!m_over) {
         const time_point begun = m_services.clock();
         const batch next = prepareBatch(begun);
+        const milliseconds interval = commitIntervalAfter(m_services.rules, m_services.clock() - begun);
         bool committed = true;
         if (!next.records.empty())
             committed = co_await appendBatch(next);
@@ -189,8 +196,8 @@
             break;
         finishBatch(next);
         const milliseconds spent = m_services.clock() - begun;
-        if (spent < m_services.rules.commitInterval)
-            co_await kernel::sleepFor(m_services.rules.commitInterval - spent);
+        if (spent < interval)
+            co_await kernel::sleepFor(interval - spent);
         co_await m_commitSignal.wait(milliseconds(500));
     }
     --m_loops;
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -37,6 +37,11 @@
 {
     //! Time that records are gathered before one commit; bounds the writes to the store.
     milliseconds commitInterval{20};
+    //! The same as a multiple of the time that planning took: the rest belongs to looks and orders, without
+    //! which there is nothing to plan.
+    int commitIntervalPerPlan = 4;
+    //! Bound of what planning may add to the interval; must stay well under the shortest objective of a job.
+    milliseconds longestCommitInterval{150};
     //! Pause between checks of leases and due times.
     milliseconds tickInterval{100};
     //! Longest wait of one look at a worker; must stay well under the lease of its tasks.
@@ -69,6 +74,9 @@
     jobs::conduct_rules conduct;
 };
 
+//! Time from one commit to the next when planning for it took \a planning.
+milliseconds commitIntervalAfter(const owner_rules &rules, milliseconds planning);
+
 //! What an owner needs from the rest of its process.
 struct owner_services
 {
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -265,4 +265,17 @@
     EXPECT_TRUE(runUntil([this] { return workers.starts.size() == 3; }));
 }
 
+//! Load pattern: many hundred workers and waiting tasks on a weak host. A plan each 20 ms took most of its
+//! processor, so that answers of workers and orders to them queued behind it.
+TEST(CommitInterval, PlanningLeavesMostOfTheTimeToLooksAndOrders)
+{
+    const fleet::owner_rules rules;
+    EXPECT_EQ(fleet::commitIntervalAfter(rules, kernel::milliseconds(1)), rules.commitInterval);
+    for (int tookMs = 5; tookMs <= 30; tookMs += 5) {
+        const kernel::milliseconds planning(tookMs);
+        EXPECT_LE(planning * 4, fleet::commitIntervalAfter(rules, planning));
+    }
+    EXPECT_EQ(fleet::commitIntervalAfter(rules, kernel::milliseconds(2000)), rules.longestCommitInterval);
+}
+
 } // namespace
