Count a step that an earlier owner began from when it was known

Cause: the account of a step without a start by this owner subtracted from zero (seen in the lines after a change of owner); the linter found the unused variable that an earlier mend left. Ruled out: batches (counted once since the first mend). Test: one more in job_account_test, failed first.

--- a/src/fleet/owner_election.cpp
+++ b/src/fleet/owner_election.cpp
@@ -70,7 +70,7 @@
 {
     store::conditional_change change;
     change.expected.push_back({election_key::owner, view.ownerRevision});
-    change.removals.push_back(election_key::owner);
+    change.removals.emplace_back(election_key::owner);
     co_await store.commit(change);
 }
 
--- a/src/jobs/job_account.cpp
+++ b/src/jobs/job_account.cpp
@@ -52,17 +52,16 @@
         const step_spec &asked = spec.steps[index];
         const time_point ready = readyAt(times, asked);
         const time_point ran = std::max(step.newestStart, times.knownSince);
-        steps.push_back(
-            {{"count", asked.count},
-             {"fills", asked.fills},
-             {"gang", asked.gang},
-             {"declaredMs", asked.declaredDuration.count()},
-             {"waitMs", std::max<std::int64_t>(0, (step.firstStart - ready).count())},
-             {"spreadMs", (step.newestStart - step.firstStart).count()},
-             {"lastRunMs", (step.newestEnd - std::max(step.newestStart, times.knownSince)).count()},
-             {"starts", step.starts},
-             {"failures", step.failures},
-             {"repeats", step.repeats}});
+        steps.push_back({{"count", asked.count},
+                         {"fills", asked.fills},
+                         {"gang", asked.gang},
+                         {"declaredMs", asked.declaredDuration.count()},
+                         {"waitMs", std::max<std::int64_t>(0, (step.firstStart - ready).count())},
+                         {"spreadMs", (step.newestStart - step.firstStart).count()},
+                         {"lastRunMs", std::max<std::int64_t>(0, (step.newestEnd - ran).count())},
+                         {"starts", step.starts},
+                         {"failures", step.failures},
+                         {"repeats", step.repeats}});
     }
     return steps;
 }
--- a/tests/unit/job_account_test.cpp
+++ b/tests/unit/job_account_test.cpp
@@ -63,6 +63,19 @@
     EXPECT_TRUE(kept.accounts.empty());
 }
 
+//! An earlier owner began the step; this one knows only that it has ended.
+TEST(JobAccount, AStepOfAnEarlierOwnerCountsFromWhenItWasKnown)
+{
+    kept_book kept;
+    const jobs::task_name first{jobId, 0, 0, 0};
+    jobs::apply(kept.book, tests::started(first, 1, "w@1"));
+    kept.take(tests::ended(first, 1, run_end::done), 700);
+    const auto &times = kept.accounts.at({jobId, 0});
+    const nlohmann::json steps = jobs::describeAccount(times, kept.book.jobs.at(jobId).spec);
+    EXPECT_EQ(steps[0]["lastRunMs"], 0);
+    EXPECT_EQ(steps[1]["lastRunMs"], 0);
+}
+
 TEST(JobAccount, ACancelledJobLeavesNothingBehind)
 {
     kept_book kept;
