Serve long-waiting lasting tasks within their priority only

Ruled out: the order of steps itself (unchanged). Change: each priority serves its own; the outcome of clearing a former office is logged instead of dropped. Tests: one in planner_test, failed first; the two of the office check the outcome.

--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -265,9 +265,12 @@
 task<void> node_daemon::clearFormerOffice()
 {
     const std::int64_t revision = m_ownerView.ownerRevision;
-    observe::log(log_level::info, "office of an earlier life of this process cleared",
+    const store::store_status outcome = co_await fleet::clearOffice(m_platform.store, m_ownerView);
+    const bool cleared = outcome == store::store_status::ok;
+    observe::log(log_level::info,
+                 cleared ? "office of an earlier life of this process cleared"
+                         : "office of an earlier life of this process not cleared; tried again",
                  {{"term", m_ownerView.term}, {"revision", revision}});
-    co_await fleet::clearOffice(m_platform.store, m_ownerView);
     // The store's answer comes before the follower has seen the change.
     if (m_ownerView.ownerRevision == revision)
         co_await m_electionSignal->wait(m_election.renewInterval);
--- a/src/fleet/owner_election.cpp
+++ b/src/fleet/owner_election.cpp
@@ -66,12 +66,13 @@
     return !view.address.empty() && view.address == address;
 }
 
-task<void> clearOffice(store::store_api store, owner_view view)
+task<store_status> clearOffice(store::store_api store, owner_view view)
 {
     store::conditional_change change;
     change.expected.push_back({election_key::owner, view.ownerRevision});
     change.removals.emplace_back(election_key::owner);
-    co_await store.commit(change);
+    const store::store_reply reply = co_await store.commit(change);
+    co_return reply.status;
 }
 
 task<void> leaveOffice(store::store_api store, won_term term)
--- a/src/fleet/owner_election.h
+++ b/src/fleet/owner_election.h
@@ -75,8 +75,8 @@
 //! one process can listen there, so the earlier one is gone, however long its lease still runs.
 bool isFormerSelf(const owner_view &view, const std::string &address);
 
-//! Takes the owner that \a view names out of the store, unless another one has come in the meantime.
-kernel::task<void> clearOffice(store::store_api store, owner_view view);
+//! Takes the owner that \a view names out of the store; conflict when another one has come in the meantime.
+kernel::task<store::store_status> clearOffice(store::store_api store, owner_view view);
 
 //! Gives the office back at once, so that a candidate needs not wait for the lease.
 kernel::task<void> leaveOffice(store::store_api store, won_term term);
--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -338,7 +338,8 @@
     return served;
 }
 
-//! Without this a steady stream of short tasks would keep lasting ones from starting at all.
+//! Serves a few lasting tasks among \a ready, which has steps of one priority. Without this a steady stream
+//! of short tasks would keep them from starting at all.
 void serveLongWaiting(round_state &round, std::span<const ready_step> ready, time_point unixNow)
 {
     std::size_t left = 1 + round.candidates.size() / workersPerReservation;
@@ -388,6 +389,21 @@
     tryPlaceGang(round, step, {}, run + 1);
 }
 
+//! Places the steps of one priority.
+void placePriority(round_state &round, std::span<const ready_step> ready, std::size_t limit,
+                   time_point unixNow)
+{
+    serveLongWaiting(round, ready, unixNow);
+    for (const ready_step &step : ready) {
+        if (round.records.size() >= limit)
+            return;
+        if (step.owner->spec.steps[step.step].gang)
+            placeGang(round, step);
+        else
+            placeSingles(round, step, limit);
+    }
+}
+
 std::uint32_t failuresOf(const step_spec &spec, const step_state &state, std::uint32_t index)
 {
     if (!spec.gang)
@@ -420,14 +436,11 @@
 {
     round_state round{book, interference, std::move(candidates), {}, {}, {}, {}};
     const std::vector<ready_step> ready = readySteps(book, config, unixNow);
-    serveLongWaiting(round, ready, unixNow);
-    for (const ready_step &step : ready) {
-        if (round.records.size() >= limit)
-            break;
-        if (step.owner->spec.steps[step.step].gang)
-            placeGang(round, step);
-        else
-            placeSingles(round, step, limit);
+    for (auto first = ready.begin(); first != ready.end() && round.records.size() < limit;) {
+        const auto last = std::find_if(
+            first, ready.end(), [first](const ready_step &step) { return step.priority != first->priority; });
+        placePriority(round, {first, last}, limit, unixNow);
+        first = last;
     }
     return std::move(round.records);
 }
--- a/tests/unit/owner_election_test.cpp
+++ b/tests/unit/owner_election_test.cpp
@@ -30,9 +30,14 @@
         return won;
     }
 
-    void clear(const fleet::owner_view &view)
+    store::store_status clear(const fleet::owner_view &view)
     {
-        tests::runToEnd(context, fleet::clearOffice(store.api(), view));
+        store::store_status status = store::store_status::unavailable;
+        tests::runToEnd(context,
+                        [](meeting &self, fleet::owner_view seen, store::store_status &out) -> task<void> {
+                            out = co_await fleet::clearOffice(self.store.api(), std::move(seen));
+                        }(*this, view, status));
+        return status;
     }
 
     store::append_result append(const fleet::won_term &term, std::uint64_t index,
@@ -72,7 +77,7 @@
     fleet::owner_view view{"a:1", 1, first->ownerRevision, all.store.revisionOf(fleet::election_key::term)};
     EXPECT_TRUE(fleet::isFormerSelf(view, "a:1"));
     EXPECT_FALSE(fleet::isFormerSelf(view, "b:1"));
-    all.clear(view);
+    EXPECT_EQ(all.clear(view), store::store_status::ok);
     view.address.clear();
     view.ownerRevision = 0;
     const auto second = all.run("b:1", view);
@@ -91,7 +96,7 @@
     view.term = 1;
     view.termRevision = all.store.revisionOf(fleet::election_key::term);
     ASSERT_TRUE(all.run("b:1", view));
-    all.clear(old);
+    EXPECT_EQ(all.clear(old), store::store_status::conflict);
     EXPECT_GT(all.store.revisionOf(fleet::election_key::owner), first->ownerRevision);
 }
 
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -138,6 +138,21 @@
     EXPECT_GT(lastingOnes, 0U);
 }
 
+//! Load pattern: lasting tasks of little priority wait for long while urgent short ones come.
+TEST(Planner, ALastingTaskThatHasWaitedLongDoesNotGoBeforeUrgentWork)
+{
+    planned world;
+    auto lasting = tests::step(1, 10'000);
+    lasting.lasting = true;
+    jobs::addJob(world.book, tests::makeJob("00000000000000aa", {lasting}, "reviews"));
+    jobs::addJob(world.book, tests::makeJob("00000000000000ab", {tests::step(1, 10'000)}, "checks"));
+    world.addWorker(tests::worker("v", 12'000));
+    constexpr std::int64_t longWaitMs = 60'000;
+    const auto records = world.plan(longWaitMs);
+    ASSERT_EQ(records.size(), 1U);
+    EXPECT_EQ(records.front().task.job, "00000000000000ab");
+}
+
 //! Load pattern: overload. A queue in the order of arrival makes every job late; one that can still be in
 //! time goes before one that can't, and that one before one that is of no use any more.
 TEST(Planner, UnderOverloadJobsThatCanStillBeInTimeGoFirst)
