Share what tests of jobs repeat

Ruled out: any change of what is checked; expectations and bounds stay as they were. Change: at() and onlyJob in job_fixtures.h, addFilling in the planner's fixture, showTwoLongRuns in the worker's.

--- a/tests/unit/job_account_test.cpp
+++ b/tests/unit/job_account_test.cpp
@@ -9,13 +9,8 @@
 
 using namespace almond;
 using jobs::run_end;
-
-constexpr const char *jobId = "00000000000000aa";
-
-kernel::time_point at(std::int64_t ms)
-{
-    return kernel::fromMillis(ms);
-}
+using tests::at;
+using tests::onlyJob;
 
 struct kept_book
 {
@@ -26,7 +21,7 @@
     {
         jobs::step_spec second = tests::step(1, 100);
         second.after = {0};
-        jobs::addJob(book, tests::makeJob(jobId, {tests::step(2, 100), second}));
+        jobs::addJob(book, tests::makeJob(onlyJob, {tests::step(2, 100), second}));
     }
 
     void take(const jobs::ledger_record &record, std::int64_t ms)
@@ -39,21 +34,22 @@
 TEST(JobAccount, TellsWaitingStartingAndRunningApart)
 {
     kept_book kept;
-    const jobs::task_name first{jobId, 0, 0, 0};
-    const jobs::task_name second{jobId, 0, 0, 1};
-    const jobs::task_name last{jobId, 0, 1, 0};
+    const jobs::task_name first{onlyJob, 0, 0, 0};
+    const jobs::task_name second{onlyJob, 0, 0, 1};
+    const jobs::task_name last{onlyJob, 0, 1, 0};
     kept.take(tests::started(first, 1, "w@1"), 100);
     kept.take(tests::started(second, 1, "w@1"), 150);
     kept.take(tests::ended(first, 1, run_end::failed), 200);
     kept.take(tests::started(first, 2, "v@1"), 230);
     kept.take(tests::ended(second, 1, run_end::done), 400);
     kept.take(tests::ended(first, 2, run_end::done), 500);
-    EXPECT_TRUE(jobs::closeAccounts(kept.accounts, kept.book, jobId).empty());
+    EXPECT_TRUE(jobs::closeAccounts(kept.accounts, kept.book, onlyJob).empty());
     kept.take(tests::started(last, 1, "w@1"), 700);
     kept.take(tests::ended(last, 1, run_end::done), 750);
-    const auto closed = jobs::closeAccounts(kept.accounts, kept.book, jobId);
+    const auto closed = jobs::closeAccounts(kept.accounts, kept.book, onlyJob);
     ASSERT_EQ(closed.size(), 1U);
-    const nlohmann::json steps = jobs::describeAccount(closed.front().second, kept.book.jobs.at(jobId).spec);
+    const nlohmann::json steps
+        = jobs::describeAccount(closed.front().second, kept.book.jobs.at(onlyJob).spec);
     EXPECT_EQ(steps[0]["waitMs"], 0);
     EXPECT_EQ(steps[0]["spreadMs"], 130);
     EXPECT_EQ(steps[0]["lastRunMs"], 270);
@@ -67,11 +63,11 @@
 TEST(JobAccount, AStepOfAnEarlierOwnerCountsFromWhenItWasKnown)
 {
     kept_book kept;
-    const jobs::task_name first{jobId, 0, 0, 0};
+    const jobs::task_name first{onlyJob, 0, 0, 0};
     jobs::apply(kept.book, tests::started(first, 1, "w@1"));
     kept.take(tests::ended(first, 1, run_end::done), 700);
-    const auto &times = kept.accounts.at({jobId, 0});
-    const nlohmann::json steps = jobs::describeAccount(times, kept.book.jobs.at(jobId).spec);
+    const auto &times = kept.accounts.at({onlyJob, 0});
+    const nlohmann::json steps = jobs::describeAccount(times, kept.book.jobs.at(onlyJob).spec);
     EXPECT_EQ(steps[0]["lastRunMs"], 0);
     EXPECT_EQ(steps[1]["lastRunMs"], 0);
 }
@@ -79,10 +75,10 @@
 TEST(JobAccount, ACancelledJobLeavesNothingBehind)
 {
     kept_book kept;
-    kept.take(tests::started({jobId, 0, 0, 0}, 1, "w@1"), 100);
-    jobs::cancelJob(kept.book, jobId);
-    EXPECT_EQ(jobs::closeAccounts(kept.accounts, kept.book, jobId).size(), 1U);
-    kept.take(tests::ended({jobId, 0, 0, 0}, 1, run_end::stopped), 150);
+    kept.take(tests::started({onlyJob, 0, 0, 0}, 1, "w@1"), 100);
+    jobs::cancelJob(kept.book, onlyJob);
+    EXPECT_EQ(jobs::closeAccounts(kept.accounts, kept.book, onlyJob).size(), 1U);
+    kept.take(tests::ended({onlyJob, 0, 0, 0}, 1, run_end::stopped), 150);
     EXPECT_TRUE(kept.accounts.empty());
 }
 
--- a/tests/unit/job_fixtures.h
+++ b/tests/unit/job_fixtures.h
@@ -11,6 +11,14 @@
 //! Jobs, workers and records that several tests need.
 namespace almond::tests {
 
+//! The job of tests that need one only.
+inline constexpr const char *onlyJob = "00000000000000aa";
+
+inline kernel::time_point at(std::int64_t ms)
+{
+    return kernel::fromMillis(ms);
+}
+
 inline jobs::step_spec step(std::uint32_t count, std::int64_t millicores, std::int64_t memoryMb = 1000)
 {
     jobs::step_spec spec;
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -22,6 +22,15 @@
         candidates.push_back(jobs::makeCandidate(info, load == book.loads.end() ? nullptr : &load->second));
     }
 
+    //! A job of \a count tasks of \a image that fill.
+    void addFilling(std::uint32_t count, const std::string &image)
+    {
+        auto filling = tests::step(count, 4000);
+        filling.fills = true;
+        filling.image = image;
+        jobs::addJob(book, tests::makeJob("00000000000000aa", {filling}, "reviews"));
+    }
+
     std::vector<jobs::ledger_record> plan(std::int64_t unixMs = 0) const
     {
         constexpr std::size_t limit = 1000;
@@ -184,10 +193,7 @@
 TEST(Planner, AWaveOfFillingTasksGoesWhereItDisturbsTheLeast)
 {
     planned world;
-    auto filling = tests::step(4, 4000);
-    filling.fills = true;
-    filling.image = "heavy";
-    jobs::addJob(world.book, tests::makeJob("00000000000000aa", {filling}, "reviews"));
+    world.addFilling(4, "heavy");
     world.addWorker(tests::worker("pressed"));
     world.addWorker(tests::worker("robust"));
     jobs::interference_model &model = world.interference.model;
@@ -205,10 +211,7 @@
 TEST(Planner, AHarmlessTaskGoesBesideAServingTaskAtThePeakOfItsLoad)
 {
     planned world;
-    auto filling = tests::step(1, 4000);
-    filling.fills = true;
-    filling.image = "gentle";
-    jobs::addJob(world.book, tests::makeJob("00000000000000aa", {filling}, "reviews"));
+    world.addFilling(1, "gentle");
     world.addWorker(tests::worker("v"));
     jobs::interference_model &model = world.interference.model;
     world.candidates[0].serving = {{jobs::numberOf(model, "frail"), 0.9}};
@@ -222,10 +225,7 @@
 TEST(Planner, NothingThatFillsGoesWhereAServingTaskIsTooSlow)
 {
     planned world;
-    auto filling = tests::step(1, 4000);
-    filling.fills = true;
-    filling.image = "gentle";
-    jobs::addJob(world.book, tests::makeJob("00000000000000aa", {filling}, "reviews"));
+    world.addFilling(1, "gentle");
     world.addWorker(tests::worker("v"));
     tests::setSlackPerCore(world.interference.model, "frail", "gentle", 0.01);
     world.candidates[0].strained = true;
--- a/tests/unit/worker_conduct_test.cpp
+++ b/tests/unit/worker_conduct_test.cpp
@@ -13,13 +13,8 @@
 
 using namespace almond;
 using jobs::run_end;
-
-constexpr const char *jobId = "00000000000000aa";
-
-kernel::time_point at(std::int64_t ms)
-{
-    return kernel::fromMillis(ms);
-}
+using tests::at;
+using tests::onlyJob;
 
 //! One worker that runs tasks of one step after the other.
 struct watched_worker
@@ -34,11 +29,11 @@
     explicit watched_worker(jobs::step_spec spec = tests::step(20, 100))
     {
         spec.count = 20;
-        jobs::addJob(book, tests::makeJob(jobId, {spec}));
+        jobs::addJob(book, tests::makeJob(onlyJob, {spec}));
         session = jobs::openSession(tests::worker("w"), at(0));
     }
 
-    jobs::task_name task(std::uint32_t index) const { return {jobId, 0, 0, index}; }
+    jobs::task_name task(std::uint32_t index) const { return {onlyJob, 0, 0, index}; }
 
     void start(std::uint32_t index, std::int64_t ms)
     {
@@ -80,6 +75,15 @@
         }
     }
 
+    //! Two tasks that began at 2000 are still at work.
+    void showTwoLongRuns(std::int64_t ms)
+    {
+        for (std::uint32_t index = 5; index < 7; ++index)
+            start(index, 2000);
+        for (std::uint32_t index = 5; index < 7; ++index)
+            showRunning(index, ms);
+    }
+
     bool quarantined(std::int64_t ms) const { return placement::isQuarantined(conduct.health, at(ms)); }
 };
 
@@ -140,10 +144,7 @@
 {
     watched_worker world;
     world.learnDuration(1000);
-    world.start(5, 2000);
-    world.start(6, 2000);
-    world.showRunning(5, 4100);
-    world.showRunning(6, 4100);
+    world.showTwoLongRuns(4100);
     EXPECT_TRUE(world.quarantined(4100));
 }
 
@@ -167,10 +168,7 @@
     for (const jobs::step_spec &spec : {fills, away}) {
         watched_worker world(spec);
         world.learnDuration(1000);
-        world.start(5, 2000);
-        world.start(6, 2000);
-        world.showRunning(5, 9000);
-        world.showRunning(6, 9000);
+        world.showTwoLongRuns(9000);
         EXPECT_FALSE(world.quarantined(9000));
     }
 }
@@ -180,7 +178,7 @@
     watched_worker world;
     world.learnDuration(1000);
     EXPECT_EQ(world.kin.size(), 1U);
-    jobs::cancelJob(world.book, jobId);
+    jobs::cancelJob(world.book, onlyJob);
     jobs::forgetEndedKin(world.kin, world.book);
     EXPECT_TRUE(world.kin.empty());
 }
--- a/tests/unit/worker_session_test.cpp
+++ b/tests/unit/worker_session_test.cpp
@@ -9,15 +9,11 @@
 using namespace almond;
 using jobs::order_outcome;
 using jobs::run_end;
+using tests::at;
 
 constexpr const char *jobId = "00000000000000aa";
 const jobs::task_name task{jobId, 0, 0, 0};
 
-kernel::time_point at(std::int64_t ms)
-{
-    return kernel::fromMillis(ms);
-}
-
 jobs::look_answer answered(std::int64_t clockMs)
 {
     jobs::look_answer answer;
