Reproduce LOST: tests of silent workers and interrupted lasting tasks that fail

What callers saw: a lasting task whose worker was lost did not run again for 13 s and more, though there was room for it. Before and after: no change of logic.

--- /dev/null
+++ b/tests/unit/silent_worker_test.cpp
@@ -0,0 +1,79 @@
+#include "tests/unit/job_fixtures.h"
+
+#include <gtest/gtest.h>
+
+//! How soon the runs of a worker that is gone for good are counted as over. Users of a lasting task are
+//! without it until then.
+namespace {
+
+using namespace almond;
+using tests::at;
+
+const jobs::task_name task{tests::onlyJob, 0, 0, 0};
+
+//! A worker with one run that has answered for the last time at 1000.
+struct last_heard
+{
+    static constexpr std::int64_t answeredAt = 1000;
+    static constexpr std::int64_t workerClock = 50'000;
+
+    jobs::session_rules rules;
+    jobs::ledger book;
+    jobs::worker_session session = jobs::openSession(tests::worker("w"), at(0));
+
+    last_heard()
+    {
+        jobs::addJob(book, tests::makeJob(tests::onlyJob, {tests::step(1, 100)}));
+        jobs::apply(book, tests::started(task, 1, "w@1"));
+        session.accepted[task] = {1, at(100)};
+        noteAnswerAt(answeredAt);
+    }
+
+    void noteAnswerAt(std::int64_t now)
+    {
+        jobs::order_answer answer;
+        answer.outcome = jobs::order_outcome::accepted;
+        answer.workerClockMs = workerClock + now;
+        jobs::noteAnswer(session, answer, at(now));
+    }
+
+    //! An order that leaves at \a sentAt and extends the lease as far as it may.
+    void order(std::int64_t sentAt)
+    {
+        jobs::noteGrant(session, *jobs::nextLeaseEnd(session, rules, at(sentAt)), rules);
+    }
+
+    std::int64_t longestLease() const
+    {
+        return rules.lease.count() * 100 / (100 - rules.clockDriftPercent) + rules.leaseMargin.count();
+    }
+
+    bool isOver(std::int64_t now) const { return !jobs::lapsedRuns(session, rules, book, at(now)).empty(); }
+};
+
+//! LOST on tichomer-ba-grown: start orders that were given again moved the end of a lost worker's lease.
+TEST(SilentWorker, OrdersThatAreGivenAgainGrantItNoMoreTime)
+{
+    last_heard world;
+    constexpr std::int64_t first = 1100;
+    world.order(first);
+    for (std::int64_t sentAt = first; sentAt < first + 4000; sentAt += 950) {
+        world.order(sentAt);
+        jobs::noteSilence(world.session, at(sentAt));
+    }
+    EXPECT_FALSE(world.isOver(first + world.rules.lease.count()));
+    EXPECT_TRUE(world.isOver(first + world.longestLease()));
+}
+
+//! An answer ends the silence: a worker that only lost answers is granted time as before.
+TEST(SilentWorker, AfterAnAnswerItIsGrantedTimeAgain)
+{
+    last_heard world;
+    world.order(1100);
+    jobs::noteSilence(world.session, at(1100));
+    world.noteAnswerAt(2500);
+    const std::int64_t granted = *jobs::nextLeaseEnd(world.session, world.rules, at(2600));
+    EXPECT_GE(granted, last_heard::workerClock + 2500 + world.rules.lease.count());
+}
+
+} // namespace
