Start interrupted lasting tasks again before short ones take the room

What callers saw: a lasting task whose worker was lost stayed away for 10 s and more while room for it came and went. Cause: since tasks that end go before lasting ones of their priority, lasting tasks got only a few places a round before them, and these were used up each round by the first ones in order, also when they fitted nowhere. Others that would fit came after all short tasks, which took each piece of room; interrupted tasks were treated like new ones. Why it works: a lasting task that ran before goes first, as many as fit; they only take back what they had. A task that fits nowhere uses up no place, only a worker that is kept free for it. Ruled out: quarantine (449 to 451 of 451 workers usable in these seconds).

--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -181,6 +181,7 @@
         } else {
             place.task->phase = task_phase::waiting;
             place.task->failures += record.end == run_end::failed ? 1 : 0;
+            place.task->interrupted = place.task->interrupted || record.end != run_end::notStarted;
             if (!record.checkpoint.empty())
                 place.task->checkpoint = record.checkpoint;
             ++place.step->waiting;
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -21,6 +21,8 @@
     std::uint32_t run = 0;
     //! Runs that ended in failure.
     std::uint32_t failures = 0;
+    //! A run of it has begun and ended, so that a lasting task is missed by its users.
+    bool interrupted = false;
     //! Incarnation of the worker while assigned.
     std::string worker;
     //! Where the next run resumes; empty for the beginning.
--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -15,8 +15,8 @@
 //! open to tasks that fill. A lower share crowds the serving tasks.
 constexpr std::int64_t servingUsePercent = 60;
 
-//! Lasting tasks wait for short ones of their priority for up to this long, in which a short one ends; then a
-//! few in each round, one for so many workers, come first and have workers kept free for them.
+//! New lasting tasks wait for short ones of their priority for up to this long, in which a short one ends;
+//! then a few in each round, one for so many workers, come first and have workers kept free for them.
 constexpr milliseconds lastingPatience{3000};
 constexpr std::size_t workersPerReservation = 100;
 
@@ -71,7 +71,7 @@
     //! Tasks placed in this round on each candidate, by step.
     std::map<std::pair<std::string, task_name>, std::uint32_t> placed;
     std::vector<ledger_record> records;
-    //! Lasting tasks that were placed before the others.
+    //! Lasting tasks that were placed before the others of their priority.
     std::set<task_name> placedFirst;
     //! Kinds of tasks that found no room in this round, with the least demand that did not fit.
     std::map<task_kind, resources> hopeless;
@@ -251,8 +251,9 @@
     round.records.push_back(std::move(record));
 }
 
-//! Keeps new firm batch tasks off the worker on which room for a lasting task is nearest.
-void reserveFor(round_state &round, const ready_step &step)
+//! Keeps new firm batch tasks off the worker on which room for a lasting task is nearest. False when no
+//! worker could ever have it.
+bool reserveFor(round_state &round, const ready_step &step)
 {
     const step_spec &spec = step.owner->spec.steps[step.step];
     candidate *nearest = nullptr;
@@ -269,6 +270,7 @@
     }
     if (nearest)
         nearest->reserved = true;
+    return nearest != nullptr;
 }
 
 task_kind kindOf(const placing &task)
@@ -314,39 +316,58 @@
     }
 }
 
-//! Places a few lasting tasks of \a step that have waited long, or keeps workers free for them. Returns how
-//! many, at most \a most.
-std::size_t placeOrReserve(round_state &round, const ready_step &step, std::size_t most)
+//! What may still be done in this round for lasting tasks that go before others of their priority.
+struct early_budget
+{
+    std::size_t placements = 0;
+    //! Workers to keep free for tasks that fit nowhere. They don't use up placements: tasks that fit must not
+    //! wait behind them.
+    std::size_t reservations = 0;
+};
+
+//! Places waiting tasks of the lasting \a step, or keeps workers free for them, as far as \a left allows.
+void placeEarly(round_state &round, const ready_step &step, bool onlyInterrupted, early_budget &left)
 {
     const placing task = placingOf(round, step);
     const auto &tasks = step.owner->occurrences.at(step.occurrence).steps[step.step].tasks;
-    std::size_t served = 0;
-    for (std::uint32_t index = 0; index < tasks.size() && served < most; ++index) {
-        if (tasks[index].phase != task_phase::waiting)
+    for (std::uint32_t index = 0; index < tasks.size() && left.placements > 0; ++index) {
+        task_name name = task.first;
+        name.index = index;
+        if (tasks[index].phase != task_phase::waiting || round.placedFirst.contains(name)
+            || (onlyInterrupted && !tasks[index].interrupted))
             continue;
-        ++served;
-        const std::ptrdiff_t chosen = chooseCandidate(round, task, {});
-        if (chosen < 0) {
-            reserveFor(round, step);
+        const std::ptrdiff_t chosen = isHopeless(round, task) ? -1 : chooseCandidate(round, task, {});
+        if (chosen >= 0) {
+            place(round, task, index, tasks[index].run + 1, static_cast<std::size_t>(chosen));
+            round.placedFirst.insert(name);
+            --left.placements;
             continue;
         }
-        place(round, task, index, tasks[index].run + 1, static_cast<std::size_t>(chosen));
-        task_name name = task.first;
-        name.index = index;
-        round.placedFirst.insert(name);
+        noteHopeless(round, task);
+        if (left.reservations == 0 || !reserveFor(round, step))
+            return;
+        --left.reservations;
     }
-    return served;
 }
 
-//! Serves a few lasting tasks among \a ready, which has steps of one priority. Without this a steady stream
-//! of short tasks would keep them from starting at all.
-void serveLongWaiting(round_state &round, std::span<const ready_step> ready, time_point unixNow)
+//! Serves lasting tasks among \a ready, which has the steps of one priority, before the others. All that ran
+//! before and fit start again: their users miss them, and they only take back as much room as they had. Of
+//! the new ones that have waited long a few do; without this a steady stream of short tasks would keep them
+//! from starting at all.
+void serveLasting(round_state &round, std::span<const ready_step> ready, std::size_t limit,
+                  time_point unixNow)
 {
-    std::size_t left = 1 + round.candidates.size() / workersPerReservation;
+    const std::size_t few = 1 + round.candidates.size() / workersPerReservation;
+    early_budget again{limit - round.records.size(), few};
+    for (const ready_step &step : ready) {
+        if (step.lasting)
+            placeEarly(round, step, true, again);
+    }
+    early_budget fresh{std::min(few, again.placements), again.reservations};
     for (const ready_step &step : ready) {
         const milliseconds waited = unixNow - kernel::fromMillis(step.acceptedAtMs);
-        if (left > 0 && step.lasting && waited >= lastingPatience)
-            left -= placeOrReserve(round, step, left);
+        if (step.lasting && waited >= lastingPatience)
+            placeEarly(round, step, false, fresh);
     }
 }
 
@@ -389,11 +410,11 @@
     tryPlaceGang(round, step, {}, run + 1);
 }
 
-//! Places the steps of one priority.
+//! Places the steps of one priority, which \a ready has in order.
 void placePriority(round_state &round, std::span<const ready_step> ready, std::size_t limit,
                    time_point unixNow)
 {
-    serveLongWaiting(round, ready, unixNow);
+    serveLasting(round, ready, limit, unixNow);
     for (const ready_step &step : ready) {
         if (round.records.size() >= limit)
             return;
--- a/src/jobs/planner.h
+++ b/src/jobs/planner.h
@@ -38,10 +38,10 @@
 //! Returns \a worker as a candidate with \a load taken off; \a load is null for an idle one.
 candidate makeCandidate(const worker_info &worker, const worker_load *load);
 
-//! Plans the next starts: by the queues' priority, then tasks that end before lasting ones, which would keep
-//! the room that they take for good, then by time of acceptance. A step that does not fit is passed over; for
-//! a few lasting ones workers are kept free of new batch tasks, so that they get room too. Returns
-//! records of the kind started, at most about \a limit of them.
+//! Plans the next starts: by the queues' priority, then lasting tasks that ran before, then tasks that end,
+//! then lasting ones that are new, which would take room for good, each by time of acceptance. A step that
+//! does not fit is passed over; for a few lasting ones workers are kept free of new batch tasks, so that they
+//! get room too. Returns records of the kind started, at most about \a limit of them.
 std::vector<ledger_record> planStarts(const ledger &book, const fleet_config &config,
                                       const interference_view &interference,
                                       std::vector<candidate> candidates, std::size_t limit,
