Count a look that was due after the last answer as the begin of a silence

What callers saw: as before, tasks of a lost worker started elsewhere up to 8 s after its loss where 6 s are enough. Cause: a failed look counted only if no other order had been answered since it left. A worker that answered a start and was then lost began its silence with the next look, up to 1.5 s later, and that one granted a whole lease. Why it works: what matters is whether an answer was due after the last one. The silence begins with the last answer then. A worker that leaves orders unanswered is asked for an answer at once instead of after a long look, so that a lost answer alone does not keep a sound one out of use.

--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -73,7 +73,8 @@
 milliseconds job_owner::lookWaitFor(const driven_worker &worker) const
 {
     const auto load = m_book.loads.find(worker.session.incarnation);
-    if (load == m_book.loads.end() || !worker.session.fenced)
+    const bool unanswered = worker.session.unansweredSince != time_point{};
+    if (load == m_book.loads.end() || !worker.session.fenced || unanswered)
         return milliseconds(0);
     const bool close = load->second.fillMillicores > 0 && load->second.servingMillicores > 0;
     if (close && !worker.pace.tooSlow.empty())
@@ -126,7 +127,7 @@
         worker->session.dead = true;
     if (result.outcome != order_outcome::accepted) {
         ++m_counters.looksFailed;
-        jobs::noteSilence(worker->session, sentAt);
+        jobs::noteSilence(worker->session, sentAt, order.wait);
         observe::log(log_level::info, "look at a worker failed",
                      {{"worker", worker->session.incarnation}, {"detail", result.detail}});
         co_await kernel::sleepFor(m_services.rules.retryPause);
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -86,10 +86,11 @@
         session.clock = clock_reading{*answer.workerClockMs, now};
 }
 
-void noteSilence(worker_session &session, time_point sentAt)
+void noteSilence(worker_session &session, time_point sentAt, milliseconds wait)
 {
-    if (session.unansweredSince == time_point{} && sentAt >= session.answeredAt)
-        session.unansweredSince = sentAt;
+    // Another order may have been answered in the meantime, but nothing since.
+    if (session.unansweredSince == time_point{} && sentAt + wait >= session.answeredAt)
+        session.unansweredSince = std::max(sentAt, session.answeredAt);
 }
 
 std::vector<ledger_record> takeLook(worker_session &session, const look_answer &answer, const ledger &book,
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -47,7 +47,7 @@
     //! When the worker's lease is certainly over.
     time_point leaseOver{};
     time_point answeredAt{};
-    //! When the oldest order without an answer since the last answer was sent; zero for none.
+    //! Since when orders have gone unanswered; zero while none has since the last answer.
     time_point unansweredSince{};
     //! Highest number of an end that was read.
     std::uint64_t endsRead = 0;
@@ -74,8 +74,8 @@
 void noteGrant(worker_session &session, std::int64_t leaseEndMs, const session_rules &rules);
 //! Takes the clock and the sign of life from an answer.
 void noteAnswer(worker_session &session, const order_answer &answer, time_point now);
-//! Records that an order sent at \a sentAt had no answer.
-void noteSilence(worker_session &session, time_point sentAt);
+//! Records that an order sent at \a sentAt had no answer, which might have waited for \a wait.
+void noteSilence(worker_session &session, time_point sentAt, milliseconds wait = milliseconds(0));
 
 //! What a look tells that the ledger does not hold yet: ends, and runs that the worker does not have.
 //! \a sentAt is when the look was sent.
--- a/tests/unit/silent_worker_test.cpp
+++ b/tests/unit/silent_worker_test.cpp
@@ -65,6 +65,27 @@
     EXPECT_TRUE(world.isOver(first + world.longestLease()));
 }
 
+//! Late restart of a lost worker's tasks: a look that failed counted for nothing if another order had been
+//! answered after it left, and the next look granted a whole lease more.
+TEST(SilentWorker, ALookThatWasDueAfterTheLastAnswerBeginsTheSilence)
+{
+    last_heard world;
+    constexpr std::int64_t sentAt = last_heard::answeredAt - 100;
+    world.order(sentAt);
+    jobs::noteSilence(world.session, at(sentAt), kernel::milliseconds(500));
+    world.order(last_heard::answeredAt + 1450);
+    jobs::noteSilence(world.session, at(last_heard::answeredAt + 1450));
+    EXPECT_TRUE(world.isOver(last_heard::answeredAt + world.longestLease()));
+}
+
+//! A look that was answered late by no fault of the worker's begins no silence.
+TEST(SilentWorker, ALookThatWasDueBeforeTheLastAnswerBeginsNoSilence)
+{
+    last_heard world;
+    jobs::noteSilence(world.session, at(last_heard::answeredAt - 600), kernel::milliseconds(500));
+    EXPECT_FALSE(jobs::isSilent(world.session, world.rules, at(last_heard::answeredAt + 60'000)));
+}
+
 //! An answer ends the silence: a worker that only lost answers is granted time as before.
 TEST(SilentWorker, AfterAnAnswerItIsGrantedTimeAgain)
 {
