Let a call that times out leave the other calls to a peer alone

Cause: one call without an answer closed the connection to its peer and with it all others that waited there, though the peer was answering them. Evidence: peer_calls_in_parallel_test failed before: an answer due after 600 ms of 5000 did not come since another call had timed out after 300. Why it works: a connection on which nothing has come while a call timed out is given no new call and closed once nobody waits on it; one on which messages come is kept, so that a slow peer is not asked for a new connection with each timeout.

--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -4,6 +4,7 @@
 #include "kernel/completion.h"
 #include "observe/log.h"
 
+#include <utility>
 #include <vector>
 
 namespace almond::wire {
@@ -28,20 +29,27 @@
 
 struct peer_link::pending_call
 {
-    pending_call(asio::io_context &context, connection_id connection)
+    pending_call(asio::io_context &context, connection_id connection, std::uint64_t received)
         : answer(context.get_executor())
         , link(connection)
+        , receivedBefore(received)
     {
     }
     kernel::completion<json> answer;
     connection_id link;
+    //! Messages that had come on the connection when the call left.
+    std::uint64_t receivedBefore;
 };
 
-struct peer_link::peer
+struct peer_link::connection
 {
-    connection_id link = 0; // 0 while there is no connection
+    std::string address;
+    connection_id id = 0;
     bool open = false;
+    //! Messages that leave once it is open.
     std::vector<std::string> waiting;
+    std::size_t calls = 0;
+    std::uint64_t received = 0;
 };
 
 peer_link::peer_link(asio::io_context &context)
@@ -72,42 +80,58 @@
     m_endpoint->stop();
 }
 
-peer_link::peer &peer_link::peerAt(const std::string &address)
+peer_link::connection &peer_link::connectionTo(const std::string &address)
 {
-    std::unique_ptr<peer> &place = m_peers[address];
-    if (!place)
-        place = std::make_unique<peer>();
-    if (place->link == 0) {
-        place->link = m_endpoint->connect(address);
-        m_outgoing[place->link] = place.get();
-    }
-    return *place;
+    connection_id &id = m_peers[address];
+    if (id == 0)
+        id = m_endpoint->connect(address);
+    connection &link = m_outgoing[id];
+    link.address = address;
+    link.id = id;
+    return link;
 }
 
 task<std::optional<json>> peer_link::call(std::string peer, std::string name, json arguments,
                                           kernel::milliseconds timeout)
 {
     const std::uint64_t number = m_nextCall++;
-    auto &target = peerAt(peer);
-    auto pending = std::make_shared<pending_call>(m_context, target.link);
+    connection &link = connectionTo(peer);
+    auto pending = std::make_shared<pending_call>(m_context, link.id, link.received);
     m_pending[number] = pending;
+    ++link.calls;
     std::string bytes = encode({{"call", number}, {"method", name}, {"arguments", std::move(arguments)}});
-    if (target.open)
-        m_endpoint->send(target.link, bytes);
+    if (link.open)
+        m_endpoint->send(link.id, bytes);
     else
-        target.waiting.push_back(std::move(bytes));
+        link.waiting.push_back(std::move(bytes));
     std::optional<json> answer = co_await pending->answer.wait(timeout);
     m_pending.erase(number);
-    // A connection that lets a call time out may be silent for good; the next call opens another.
-    if (!answer && target.link == pending->link && target.link != 0)
-        abandon(pending->link);
+    release(pending, answer.has_value());
     co_return answer;
 }
 
-void peer_link::abandon(connection_id id)
+void peer_link::release(const std::shared_ptr<pending_call> &call, bool answered)
 {
+    const auto found = m_outgoing.find(call->link);
+    if (found == m_outgoing.end())
+        return;
+    connection &link = found->second;
+    --link.calls;
+    // A connection on which nothing has come while a call timed out may be silent for good; the next call
+    // opens another. The calls that wait on this one may still be answered.
+    connection_id &present = m_peers[link.address];
+    if (!answered && link.received == call->receivedBefore && present == link.id)
+        present = 0;
+    closeIfUnused(link.id);
+}
+
+void peer_link::closeIfUnused(connection_id id)
+{
+    const auto found = m_outgoing.find(id);
+    if (found == m_outgoing.end() || found->second.calls > 0 || m_peers[found->second.address] == id)
+        return;
+    m_outgoing.erase(found);
     m_endpoint->close(id);
-    onClosed(id);
 }
 
 void peer_link::onOpened(connection_id id)
@@ -115,10 +139,9 @@
     const auto found = m_outgoing.find(id);
     if (found == m_outgoing.end())
         return;
-    found->second->open = true;
-    for (const std::string &bytes : found->second->waiting)
+    found->second.open = true;
+    for (const std::string &bytes : std::exchange(found->second.waiting, {}))
         m_endpoint->send(id, bytes);
-    found->second->waiting.clear();
 }
 
 void peer_link::onClosed(connection_id id)
@@ -126,9 +149,9 @@
     const auto found = m_outgoing.find(id);
     if (found == m_outgoing.end())
         return;
-    found->second->link = 0;
-    found->second->open = false;
-    found->second->waiting.clear();
+    connection_id &present = m_peers[found->second.address];
+    if (present == id)
+        present = 0;
     m_outgoing.erase(found);
     for (const auto &[number, pending] : m_pending) {
         if (pending->link == id)
@@ -145,6 +168,9 @@
         kernel::spawn(m_context.get_executor(), answerCall(id, std::move(message)));
         return;
     }
+    const auto link = m_outgoing.find(id);
+    if (link != m_outgoing.end())
+        ++link->second.received;
     const auto found = m_pending.find(message.value("call", std::uint64_t{0}));
     if (found == m_pending.end())
         return;
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -38,10 +38,11 @@
 
 private:
     struct pending_call;
-    struct peer;
+    struct connection;
 
-    peer &peerAt(const std::string &address);
-    void abandon(connection_id id);
+    connection &connectionTo(const std::string &address);
+    void release(const std::shared_ptr<pending_call> &call, bool answered);
+    void closeIfUnused(connection_id id);
     void onOpened(connection_id id);
     void onReceived(connection_id id, const std::string &bytes);
     void onClosed(connection_id id);
@@ -50,8 +51,10 @@
     boost::asio::io_context &m_context;
     std::unique_ptr<websocket_endpoint> m_endpoint;
     std::map<std::string, method> m_methods;
-    std::map<std::string, std::unique_ptr<peer>> m_peers;
-    std::map<connection_id, peer *> m_outgoing;
+    //! The connection on which the next call to a peer leaves.
+    std::map<std::string, connection_id> m_peers;
+    //! Connections that this side has opened.
+    std::map<connection_id, connection> m_outgoing;
     std::map<std::uint64_t, std::shared_ptr<pending_call>> m_pending;
     std::uint64_t m_nextCall = 1;
 };
