Count a run of a gang in which several members fail as one failure

What callers saw: a job could be shown as failed before its attempts were used up. Cause: the failures of all members were added up, though members of one run that fail together, as on workers that fail all they start, are one failed run of the gang. Evidence: gang_failures_test failed before (given up after one of three runs). A second test holds that runs in which different members fail add up; it passes before and after. Why it works: the step counts the runs in which a member failed.

--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -166,6 +166,13 @@
     }
 }
 
+//! Members of one run may fail together; the gang has failed once.
+void noteGangFailure(step_state &step, std::uint32_t run)
+{
+    step.failedRuns += run > step.lastFailedRun ? 1 : 0;
+    step.lastFailedRun = std::max(step.lastFailedRun, run);
+}
+
 bool applyEnded(ledger &book, const ledger_record &record)
 {
     const located_task place = locate(book, record.task);
@@ -181,6 +188,8 @@
         } else {
             place.task->phase = task_phase::waiting;
             place.task->failures += record.end == run_end::failed ? 1 : 0;
+            if (record.end == run_end::failed && place.spec->gang)
+                noteGangFailure(*place.step, record.run);
             place.task->interrupted = place.task->interrupted || record.end != run_end::notStarted;
             if (!record.checkpoint.empty())
                 place.task->checkpoint = record.checkpoint;
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -34,6 +34,9 @@
     std::vector<task_state> tasks;
     std::uint32_t waiting = 0;
     std::uint32_t done = 0;
+    //! Runs of a gang in which a member failed, and the newest of them.
+    std::uint32_t failedRuns = 0;
+    std::uint32_t lastFailedRun = 0;
 };
 
 //! One pass through a job's steps.
--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -425,16 +425,6 @@
     }
 }
 
-std::uint32_t failuresOf(const step_spec &spec, const step_state &state, std::uint32_t index)
-{
-    if (!spec.gang)
-        return state.tasks[index].failures;
-    std::uint32_t failures = 0;
-    for (const task_state &member : state.tasks)
-        failures += member.failures;
-    return failures;
-}
-
 } // namespace
 
 candidate makeCandidate(const worker_info &worker, const worker_load *load)
@@ -479,7 +469,8 @@
         if (queue == config.queues.end() || spec.lasting)
             continue;
         const step_state &state = owner->second.occurrences.at(name.occurrence).steps[name.step];
-        if (failuresOf(spec, state, name.index) >= queue->second.attempts)
+        const std::uint32_t failures = spec.gang ? state.failedRuns : state.tasks[name.index].failures;
+        if (failures >= queue->second.attempts)
             hopeless.push_back(name.job);
     }
     std::sort(hopeless.begin(), hopeless.end());
--- a/tests/unit/gang_failures_test.cpp
+++ b/tests/unit/gang_failures_test.cpp
@@ -26,4 +26,26 @@
     EXPECT_TRUE(jobs::jobsToGiveUp(book, tests::fleetConfig(), touched).empty());
 }
 
+//! Each run of a gang that failed counts, whichever member it was.
+TEST(GangFailures, RunsInWhichDifferentMembersFailAddUp)
+{
+    auto gang = tests::step(3, 1000);
+    gang.gang = true;
+    jobs::ledger book;
+    jobs::addJob(book, tests::makeJob(tests::onlyJob, {gang}));
+    const std::vector<jobs::task_name> touched{{tests::onlyJob, 0, 0, 0}};
+    for (std::uint32_t run = 1; run <= 3; ++run) {
+        EXPECT_TRUE(jobs::jobsToGiveUp(book, tests::fleetConfig(), touched).empty());
+        for (std::uint32_t index = 0; index < 3; ++index)
+            jobs::apply(book, tests::started({tests::onlyJob, 0, 0, index}, run, "v@1"));
+        for (std::uint32_t index = 0; index < 3; ++index) {
+            const bool failing = index == run - 1;
+            jobs::apply(book,
+                        tests::ended({tests::onlyJob, 0, 0, index}, run,
+                                     failing ? jobs::run_end::failed : jobs::run_end::stopped));
+        }
+    }
+    EXPECT_EQ(jobs::jobsToGiveUp(book, tests::fleetConfig(), touched).size(), 1U);
+}
+
 } // namespace
