Tell since when and for what lasting tasks and idle jobs wait

Ruled out: a line for each wait.

Before: "worker's runs are over" named the worker and the number of its runs. After: it names the last answer, the silence, whether the lease was inherited, how long into the silence it was still granted, and the lasting runs. "lasting task waits long", "lasting task runs again" and "job has nothing running though its turn has come" carry the cause, the workers with room and the time that went to each cause. No decision is changed; the test whether a worker has just refused an order only moved into a function.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -210,6 +210,7 @@
     for (ledger_record &record : std::exchange(m_observed, {})) {
         if (!jobs::apply(m_book, record))
             continue;
+        noteEnd(record, now);
         touched.push_back(record.task);
         next.records.push_back(std::move(record));
     }
@@ -281,9 +282,7 @@
         if (!useAll && placement::isQuarantined(worker->conduct.health, now))
             continue;
         const bool open = !config->withdrawnDomains.contains(session.info.failureDomain);
-        const bool refusing
-            = worker->refusedAt != time_point{} && now - worker->refusedAt < m_services.rules.refusalPause;
-        if (!open || refusing || !jobs::mayTakeWork(session, m_services.rules.sessions, now))
+        if (!open || isRefusing(*worker, now) || !jobs::mayTakeWork(session, m_services.rules.sessions, now))
             continue;
         const auto load = m_book.loads.find(incarnation);
         usable.push_back(
@@ -376,10 +375,7 @@
             const driven_ptr &worker = place->second;
             std::vector<ledger_record> lapsed
                 = jobs::lapsedRuns(worker->session, m_services.rules.sessions, m_book, now);
-            if (!lapsed.empty())
-                observe::log(
-                    log_level::warning, "worker's runs are over: its lease or life is",
-                    {{"worker", place->first}, {"dead", worker->session.dead}, {"runs", lapsed.size()}});
+            noteLapse(*worker, lapsed, now);
             observe(std::move(lapsed));
             const bool gone = (worker->session.dead || !worker->session.listed)
                 && !m_book.loads.contains(place->first) && worker->session.ordering.empty();
@@ -387,6 +383,7 @@
                 worker->signal.wake();
             place = gone ? m_workers.erase(place) : std::next(place);
         }
+        watchWaiting(now);
         if (!m_book.withWaiting.empty() || !m_book.timers.empty())
             m_commitSignal.wake();
         if (now - m_modelRefreshedAt > m_services.rules.modelInterval) {
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -4,6 +4,7 @@
 #include "jobs/interference.h"
 #include "jobs/job_account.h"
 #include "jobs/planner.h"
+#include "jobs/waiting_watch.h"
 #include "jobs/worker_conduct.h"
 #include "jobs/worker_port.h"
 #include "jobs/worker_session.h"
@@ -195,6 +196,12 @@
                          const jobs::order_answer &answer, const start_attempt &attempt);
     void giveBack(driven_worker &worker, const jobs::ledger_record &record, const std::string &reason);
     void observe(std::vector<jobs::ledger_record> records);
+    bool isRefusing(const driven_worker &worker, time_point now) const;
+    jobs::fleet_view viewOf(const jobs::fleet_config &config, std::span<const jobs::worker_view> workers,
+                            time_point now) const;
+    void noteEnd(const jobs::ledger_record &record, time_point now);
+    void noteLapse(const driven_worker &worker, std::span<const jobs::ledger_record> lapsed, time_point now);
+    void watchWaiting(time_point now);
     void judgeWorker(driven_worker &worker, const jobs::look_answer &answer, time_point now);
     void stopUnwanted(const driven_ptr &worker);
     void paceFills(const driven_ptr &worker, time_point now);
@@ -215,6 +222,7 @@
     std::string m_savedPairs;
     jobs::kin_durations m_kin;
     jobs::job_accounts m_accounts;
+    jobs::waiting_watch m_waiting;
     std::uint64_t m_index = 0;
     std::uint64_t m_submission = 0;
     std::set<std::string> m_cancelled;
--- /dev/null
+++ b/src/jobs/waiting_cause.cpp
@@ -0,0 +1,177 @@
+#include "jobs/waiting_cause.h"
+
+#include "jobs/planner.h"
+
+#include <algorithm>
+#include <array>
+
+namespace almond::jobs {
+
+namespace {
+
+std::uint32_t tasksOfStep(const worker_load &load, task_name first)
+{
+    first.index = 0;
+    std::uint32_t count = 0;
+    for (auto run = load.runs.lower_bound(first); run != load.runs.end(); ++run) {
+        const task_name &name = run->first;
+        if (name.job != first.job || name.occurrence != first.occurrence || name.step != first.step)
+            break;
+        ++count;
+    }
+    return count;
+}
+
+//! Whether a task of \a spec, which fills, would find the processor time that the planner asks for.
+bool hasSpare(const worker_session &session, const worker_load *load, const step_spec &spec)
+{
+    worker_info sized;
+    sized.capacity = session.info.capacity;
+    const candidate worker = makeCandidate(sized, load);
+    return worker.spareMillicores >= spec.demand.millicores
+        || (worker.fillMillicores == 0 && worker.spareMillicores * 2 >= spec.demand.millicores);
+}
+
+bool hasRoomFor(const worker_session &session, const worker_load *load, const step_spec &spec,
+                const task_name &task)
+{
+    if (!spec.requiredLabel.empty() && !hasLabel(session.info, spec.requiredLabel))
+        return false;
+    resources demand = spec.demand;
+    if (spec.fills)
+        demand.millicores = 0;
+    if (!fits(demand, load ? session.info.capacity - load->firm : session.info.capacity))
+        return false;
+    if (spec.fills && !hasSpare(session, load, spec))
+        return false;
+    return spec.perWorkerLimit == 0 || !load || tasksOfStep(*load, task) < spec.perWorkerLimit;
+}
+
+std::size_t &memberFor(room_count &count, const fleet_view &view, const worker_view &worker)
+{
+    const worker_session &session = *worker.session;
+    if (!mayTakeWork(session, view.sessions, view.now))
+        return count.unreachable;
+    if (view.config.withdrawnDomains.contains(session.info.failureDomain))
+        return count.withdrawn;
+    if (worker.quarantined)
+        return count.quarantined;
+    return worker.refusing ? count.refusing : count.usable;
+}
+
+room_count countAllRoom(const fleet_view &view, std::string_view service, const step_spec &spec,
+                        const task_name &task)
+{
+    constexpr std::int64_t whole = 100;
+    room_count count;
+    std::int64_t capacity = 0;
+    std::int64_t assigned = 0;
+    for (const worker_view &worker : view.workers) {
+        const worker_session &session = *worker.session;
+        if (session.info.service != service || session.dead || !session.listed)
+            continue;
+        capacity += session.info.capacity.millicores;
+        assigned += worker.load ? worker.load->firm.millicores : 0;
+        if (hasRoomFor(session, worker.load, spec, task))
+            ++memberFor(count, view, worker);
+    }
+    count.servicePercent = static_cast<int>(assigned * whole / std::max<std::int64_t>(capacity, 1));
+    return count;
+}
+
+wait_cause causeOfRoom(const room_count &room)
+{
+    if (room.usable > 0)
+        return wait_cause::notPlaced;
+    if (room.refusing > 0)
+        return wait_cause::onlyRefusing;
+    if (room.quarantined > 0)
+        return wait_cause::onlyQuarantined;
+    if (room.unreachable > 0)
+        return wait_cause::onlyUnreachable;
+    return room.withdrawn > 0 ? wait_cause::onlyWithdrawn : wait_cause::noRoom;
+}
+
+} // namespace
+
+std::string_view causeName(wait_cause cause)
+{
+    static constexpr std::array<std::string_view, waitCauseCount> names{
+        "earlier steps",
+        "start under way",
+        "start unanswered",
+        "run not over",
+        "room but not placed",
+        "no room",
+        "only quarantined workers have room",
+        "only refusing workers have room",
+        "only withdrawn failure domains have room",
+        "only unreachable workers have room",
+        "old configuration",
+        "old list of workers",
+        "queue not configured"};
+    return names.at(static_cast<std::size_t>(cause));
+}
+
+const worker_view *findWorker(const fleet_view &view, std::string_view incarnation)
+{
+    const auto found = std::lower_bound(view.workers.begin(), view.workers.end(), incarnation,
+                                        [](const worker_view &worker, std::string_view wanted) {
+                                            return worker.session->incarnation < wanted;
+                                        });
+    const bool known = found != view.workers.end() && found->session->incarnation == incarnation;
+    return known ? &*found : nullptr;
+}
+
+bool isOutOfSight(const worker_session &session, const session_rules &rules, time_point now)
+{
+    return session.dead || session.info.address.empty() || isSilent(session, rules, now);
+}
+
+room_count countRoom(const fleet_view &view, std::string_view service, const step_spec &spec,
+                     const task_name &task, room_counts &known)
+{
+    // A limit for each worker is the step's own affair.
+    if (spec.perWorkerLimit > 0)
+        return countAllRoom(view, service, spec, task);
+    const room_kind kind(service, spec.requiredLabel, spec.demand.millicores, spec.demand.memoryMb,
+                         spec.demand.accelerators, spec.fills);
+    const auto [place, added] = known.try_emplace(kind);
+    if (added)
+        place->second = countAllRoom(view, service, spec, task);
+    return place->second;
+}
+
+wait_cause causeOfWaiting(const fleet_view &view, const job_state &owner, const task_name &task,
+                          room_counts &known)
+{
+    if (!isReady(owner, owner.occurrences.at(task.occurrence), task.step))
+        return wait_cause::earlierSteps;
+    if (view.configOld)
+        return wait_cause::oldConfig;
+    if (view.workersOld)
+        return wait_cause::oldWorkerList;
+    const auto queue = view.config.queues.find(owner.spec.queue);
+    if (queue == view.config.queues.end())
+        return wait_cause::noQueue;
+    return causeOfRoom(countRoom(view, queue->second.service, owner.spec.steps[task.step], task, known));
+}
+
+std::optional<wait_cause> causeOf(const fleet_view &view, const task_name &task, room_counts &known)
+{
+    const auto owner = view.book.jobs.find(task.job);
+    const task_state *state = findTask(view.book, task);
+    if (!state || isFinal(owner->second.status) || state->phase == task_phase::done)
+        return std::nullopt;
+    if (state->phase == task_phase::waiting)
+        return causeOfWaiting(view, owner->second, task, known);
+    const worker_view *worker = findWorker(view, state->worker);
+    if (worker && worker->session->ordering.contains(task))
+        return worker->session->unansweredSince == time_point{} ? wait_cause::startUnderWay
+                                                                : wait_cause::startUnanswered;
+    if (!worker || isOutOfSight(*worker->session, view.sessions, view.now))
+        return wait_cause::runNotOver;
+    return std::nullopt;
+}
+
+} // namespace almond::jobs
--- /dev/null
+++ b/src/jobs/waiting_watch.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "jobs/waiting_cause.h"
+
+#include <array>
+#include <string>
+#include <vector>
+
+namespace almond::jobs {
+
+//! When the watch speaks of a task or a job.
+struct watch_rules
+{
+    //! Pause between two walks over what waits.
+    milliseconds walkInterval{500};
+    //! A lasting task that has not run for this long is named, and once more after the second span.
+    std::array<milliseconds, 2> lastingLimits{milliseconds(6000), milliseconds(9000)};
+    //! A job with nothing running is named when there has been room for it for this long.
+    milliseconds idleLimit{3000};
+    std::size_t linesPerSecond = 20;
+    //! Pause between two removals of what is known of ended jobs.
+    milliseconds forgetInterval{10'000};
+};
+
+//! The end of a task's newest run.
+struct known_end
+{
+    std::uint32_t run = 0;
+    time_point at{};
+};
+
+//! A lasting task that does not run, or can't be seen to run.
+struct absence
+{
+    task_name task;
+    //! Its newest run when this began.
+    std::uint32_t lastRun = 0;
+    std::uint32_t newestRun = 0;
+    time_point since{};
+    time_point countedTo{};
+    //! Time that went to each cause.
+    std::array<milliseconds, waitCauseCount> spent{};
+    //! How many of the limits it has passed.
+    std::size_t limitsPassed = 0;
+};
+
+//! A job with nothing running though there is room for it.
+struct idle_job
+{
+    time_point since{};
+    time_point seenAt{};
+    bool named = false;
+};
+
+//! A line for the log.
+struct watch_line
+{
+    std::string message;
+    nlohmann::json fields;
+};
+
+//! Follows what waits during one term. Knows nothing that decides anything.
+struct waiting_watch
+{
+    watch_rules rules;
+    std::map<task_name, known_end> ends;
+    //! Sorted by task.
+    std::vector<absence> absences;
+    std::map<std::string, idle_job, std::less<>> idle;
+    time_point walkedAt{};
+    time_point forgotAt{};
+    time_point secondBegun{};
+    std::size_t linesInSecond = 0;
+    std::size_t linesLeftOut = 0;
+};
+
+//! Takes \a record, an end that was applied to the ledger at the view's time.
+void noteEnd(waiting_watch &watch, const fleet_view &view, const ledger_record &record);
+//! Takes the runs that end with the lease or life of \a session: they are known to have run until its last
+//! answer only. Call it before noteEnd(). False when all these ends are known already.
+bool noteLapse(waiting_watch &watch, const fleet_view &view, const worker_session &session,
+               std::span<const ledger_record> lapsed);
+
+//! Since when \a task has not run, if \a lastRun is its newest run that began: that run's end, or its
+//! acceptance or due time before the first, or the begin of this office when the end was seen by an earlier
+//! owner.
+time_point waitingSince(const waiting_watch &watch, const fleet_view &view, const task_name &task,
+                        std::uint32_t lastRun);
+
+//! Walks over what waits and returns what there is to say.
+std::vector<watch_line> walkWaiting(waiting_watch &watch, const fleet_view &view);
+
+//! What made the runs in \a lapsed count as over, for the log.
+nlohmann::json describeLapse(const worker_session &session, const fleet_view &view,
+                             std::span<const ledger_record> lapsed);
+
+} // namespace almond::jobs
