Ask former owners whether they still renew, instead of waiting out that they might

What callers saw: tasks of a worker that was lost shortly before the owner was killed started elsewhere 9.4 s after the next one took office. Cause: a successor can't ask a worker that is gone. It waited out 3.5 s in which its predecessor might have gone on renewing leases without the store, and a whole lease after that, also where the predecessor was long over. Why it works: the key of the term names the processes that may still renew. A successor asks them; one that was killed answers once it has started again, one that is alive ends its term. From then on only the lease itself is waited out. A process that gives no answer is waited out as before. Ruled out: a shorter limit of renewals without the store, which would end runs in an outage.

--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -59,6 +59,7 @@
     needs.local = [this] { return m_ownerServes ? m_owner : nullptr; };
     m_callers = std::make_unique<fleet::caller_service>(std::move(needs));
     m_callers->provideCalls();
+    fleet::provideInquiry(*m_peers, [this](std::uint64_t laterTerm) { return renewsBeside(laterTerm); });
     startRelaying();
     m_peers->listen(m_settings.peerAddress);
     openReadiness();
@@ -142,11 +143,11 @@
 {
     store::follow_events events;
     events.written = [this](const store::stored_item &item) {
-        fleet::takeOwnerKey(m_ownerView, item.key, item.value, item.revision);
+        fleet::takeOwnerKey(m_ownerView, item.key, item.value, item.revision, kernel::monotonicNow());
         m_electionSignal->wake();
     };
     events.removed = [this](const std::string &key) {
-        fleet::takeOwnerKey(m_ownerView, key, "", 0);
+        fleet::takeOwnerKey(m_ownerView, key, "", 0, kernel::monotonicNow());
         m_electionSignal->wake();
     };
     events.listed = [this] { m_electionSignal->wake(); };
@@ -283,12 +284,17 @@
     if (m_stopping || !m_ownerView.address.empty())
         co_return;
     const kernel::time_point asked = kernel::monotonicNow();
-    const auto won
-        = co_await fleet::tryTakeOffice(m_platform.store, m_settings.peerAddress, m_ownerView, m_election);
+    const auto won = co_await fleet::tryTakeOffice(m_platform.store, m_settings.peerAddress, m_ownerView,
+                                                   m_election, asked);
     if (!won) {
         co_await m_electionSignal->wait(milliseconds(100));
         co_return;
     }
+    if (won->term < m_laterTerm) {
+        // The later owner counts on it that this one gives no orders.
+        co_await fleet::leaveOffice(m_platform.store, *won);
+        co_return;
+    }
     observe::log(log_level::info, "became the owner", {{"term", won->term}});
     m_term = won;
     m_renewedAt = asked;
@@ -307,6 +313,25 @@
     m_owner = std::make_shared<fleet::job_owner>(*m_context, std::move(services), *won);
     m_workerKeys = followWorkers(m_owner);
     kernel::spawn(m_context->get_executor(), enterOffice(m_owner));
+    kernel::spawn(m_context->get_executor(), askFormerHolders(m_owner, *won));
+}
+
+//! Tells whether this process may still renew leases; an owner of an earlier term ends when a later one asks.
+bool node_daemon::renewsBeside(std::uint64_t laterTerm)
+{
+    m_laterTerm = std::max(m_laterTerm, laterTerm);
+    if (m_owner && m_term->term < laterTerm)
+        m_owner->resign("the owner of a later term has asked");
+    return m_owner && !m_owner->isOver();
+}
+
+task<void> node_daemon::askFormerHolders(std::shared_ptr<fleet::job_owner> owner, fleet::won_term term)
+{
+    const auto goOn = [owner] { return !owner->isOver(); };
+    const bool over = co_await fleet::awaitFormerHolders(m_peers.get(), term.formerHolders, term.term, goOn,
+                                                         fleet::inquiry_rules{});
+    if (over && !owner->isOver())
+        owner->noteFormerHoldersOver();
 }
 
 task<void> node_daemon::enterOffice(std::shared_ptr<fleet::job_owner> owner)
--- a/src/daemon/node_daemon.h
+++ b/src/daemon/node_daemon.h
@@ -2,6 +2,7 @@
 
 #include "daemon/node_settings.h"
 #include "fleet/caller_service.h"
+#include "fleet/former_holders.h"
 #include "fleet/job_owner.h"
 #include "fleet/owner_election.h"
 #include "http/server.h"
@@ -66,6 +67,8 @@
     kernel::task<void> runForOffice();
     kernel::task<void> keepOffice();
     kernel::task<void> enterOffice(std::shared_ptr<fleet::job_owner> owner);
+    kernel::task<void> askFormerHolders(std::shared_ptr<fleet::job_owner> owner, fleet::won_term term);
+    bool renewsBeside(std::uint64_t laterTerm);
     bool isReady() const;
     nlohmann::json dump() const;
 
@@ -88,6 +91,8 @@
     std::unique_ptr<kernel::wake_signal> m_electionSignal;
     fleet::election_rules m_election;
     std::optional<fleet::won_term> m_term;
+    //! Highest term whose owner has asked whether this process renews leases.
+    std::uint64_t m_laterTerm = 0;
     kernel::time_point m_renewedAt{};
     kernel::time_point m_reportedAt{};
     std::shared_ptr<fleet::job_owner> m_owner;
--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -24,6 +24,7 @@
     , m_services(std::move(services))
     , m_term(std::move(term))
     , m_since(m_services.clock())
+    , m_inheritedUntil(jobs::inheritedLeaseEnd(m_services.rules.sessions, m_since))
     , m_commitSignal(context.get_executor())
 {
 }
@@ -151,7 +152,7 @@
         if (m_workers.contains(incarnation))
             continue;
         auto ghost = std::make_shared<driven_worker>(m_context.get_executor());
-        ghost->session = jobs::openSession({}, jobs::inheritedLeaseEnd(m_services.rules.sessions, m_since));
+        ghost->session = jobs::openSession({}, m_inheritedUntil);
         ghost->session.incarnation = incarnation;
         ghost->session.listed = false;
         m_workers[incarnation] = ghost;
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -125,6 +125,8 @@
     //! Another owner has been seen, or the office is lost.
     bool isOver() const { return m_over; }
     void resign(const std::string &reason);
+    //! Every earlier owner has said that it renews no lease any more.
+    void noteFormerHoldersOver();
 
     void takeWorker(const std::string &id, const std::optional<jobs::worker_info> &info);
     void wake() { m_commitSignal.wake(); }
@@ -215,6 +217,8 @@
     owner_services m_services;
     won_term m_term;
     time_point m_since{};
+    //! When the leases that earlier owners have granted are certainly over.
+    time_point m_inheritedUntil{};
     jobs::ledger m_book;
     jobs::interference_view m_interference;
     time_point m_modelRefreshedAt{};
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -43,12 +43,24 @@
         return;
     }
     auto worker = std::make_shared<driven_worker>(m_context.get_executor());
-    worker->session = jobs::openSession(*info, jobs::inheritedLeaseEnd(m_services.rules.sessions, m_since));
+    worker->session = jobs::openSession(*info, m_inheritedUntil);
     m_workers[incarnation] = worker;
     if (m_loaded)
         drive(worker);
 }
 
+void job_owner::noteFormerHoldersOver()
+{
+    const time_point until = jobs::inheritedLeaseEndAfter(m_services.rules.sessions, m_services.clock());
+    m_inheritedUntil = std::min(m_inheritedUntil, until);
+    for (const auto &[incarnation, worker] : m_workers)
+        worker->session.inheritedUntil = std::min(worker->session.inheritedUntil, until);
+    observe::log(log_level::info, "earlier owners renew no lease any more",
+                 {{"term", m_term.term},
+                  {"officeMs", (m_services.clock() - m_since).count()},
+                  {"leasesOverInMs", (m_inheritedUntil - m_services.clock()).count()}});
+}
+
 void job_owner::drive(const driven_ptr &worker)
 {
     if (worker->driving || worker->session.info.address.empty())
@@ -213,7 +225,7 @@
         if (answer.outcome == order_outcome::refused && answer.refusal == order_refusal::fenced)
             resign("a worker has seen a later term");
         stopped = answer.outcome == order_outcome::accepted || answer.outcome == order_outcome::refused;
-        const bool leaseOver = m_services.clock() > worker->session.leaseOver;
+        const bool leaseOver = m_services.clock() > jobs::leaseEnd(worker->session);
         if (!stopped && leaseOver)
             break;
         if (!stopped)
--- a/src/fleet/owner_election.cpp
+++ b/src/fleet/owner_election.cpp
@@ -11,17 +11,34 @@
 using nlohmann::json;
 using store::store_status;
 
-void takeOwnerKey(owner_view &view, const std::string &key, const std::string &value, std::int64_t revision)
+void takeOwnerKey(owner_view &view, const std::string &key, const std::string &value, std::int64_t revision,
+                  time_point now)
 {
     if (key == election_key::owner) {
         view.address = value;
         view.ownerRevision = value.empty() ? 0 : revision;
     } else if (key == election_key::term) {
-        view.term = value.empty() ? 0 : std::stoull(value);
+        const json newest = json::parse(value, nullptr, false);
+        const bool known = newest.is_object();
+        view.term = known ? newest.value("term", std::uint64_t{0}) : 0;
+        view.holders
+            = known ? newest.value("holders", std::vector<std::string>{}) : std::vector<std::string>{};
         view.termRevision = value.empty() ? 0 : revision;
+        view.termSeenAt = now;
     }
 }
 
+std::vector<std::string> formerHolders(const owner_view &view, const std::string &address,
+                                       const election_rules &rules, time_point now)
+{
+    std::vector<std::string> former = view.holders;
+    if (!former.empty() && now - view.termSeenAt >= rules.detachedLimit)
+        former.erase(former.begin(), former.end() - 1);
+    // An earlier life of the process that asks renews nothing.
+    std::erase(former, address);
+    return former;
+}
+
 milliseconds candidacyDelay(const election_rules &rules, double processorShare, double drawn)
 {
     constexpr double weakest = 0.05;
@@ -32,9 +49,15 @@
 }
 
 task<std::optional<won_term>> tryTakeOffice(store::store_api store, std::string address, owner_view view,
-                                            election_rules rules)
+                                            election_rules rules, time_point now)
 {
     std::optional<won_term> won;
+    const std::vector<std::string> former = formerHolders(view, address, rules, now);
+    std::vector<std::string> holders = former;
+    holders.push_back(address);
+    json term;
+    term["term"] = view.term + 1;
+    term["holders"] = holders;
     const store::store_reply lease = co_await store.grantLease(rules.lease);
     if (lease.status != store_status::ok)
         co_return won;
@@ -42,10 +65,10 @@
     change.expected.push_back({election_key::owner, 0});
     change.expected.push_back({election_key::term, view.termRevision});
     change.puts.push_back({election_key::owner, address, lease.value});
-    change.puts.push_back({election_key::term, std::to_string(view.term + 1), ""});
+    change.puts.push_back({election_key::term, term.dump(), ""});
     const store::store_reply taken = co_await store.commit(change);
     if (taken.status == store_status::ok) {
-        won = won_term{view.term + 1, taken.revision, lease.value};
+        won = won_term{view.term + 1, taken.revision, lease.value, former};
         co_return won;
     }
     // Also after a lost answer: ending the lease removes a key that the call may have written.
--- a/src/fleet/owner_election.h
+++ b/src/fleet/owner_election.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace almond::fleet {
 
@@ -17,7 +18,7 @@
 inline constexpr const char *prefix = "almond/owner/";
 //! Who owns the jobs; goes with its lease.
 inline constexpr const char *owner = "almond/owner/present";
-//! Number of the newest term; never goes.
+//! Number of the newest term, and who held the office; never goes.
 inline constexpr const char *term = "almond/owner/term";
 } // namespace election_key
 
@@ -45,6 +46,11 @@
     std::uint64_t term = 0;
     std::int64_t ownerRevision = 0;
     std::int64_t termRevision = 0;
+    //! Peer addresses of processes that have held the office and may still renew leases at workers, the
+    //! newest last.
+    std::vector<std::string> holders;
+    //! When this process learned of the newest term.
+    time_point termSeenAt{};
 };
 
 //! A term that this process has won.
@@ -54,17 +60,25 @@
     //! Revision of the owner's key while this process holds it.
     std::int64_t ownerRevision = 0;
     std::string lease;
+    //! Other processes that may still renew leases at workers, by peer address.
+    std::vector<std::string> formerHolders;
 };
 
 //! Takes a key of the election into \a view. \a value is empty when the key was removed.
-void takeOwnerKey(owner_view &view, const std::string &key, const std::string &value, std::int64_t revision);
+void takeOwnerKey(owner_view &view, const std::string &key, const std::string &value, std::int64_t revision,
+                  time_point now);
+
+//! Processes other than \a address that may still renew leases at workers at \a now. Once the newest holder
+//! has held the office for the detached limit, those before it renew nothing any more.
+std::vector<std::string> formerHolders(const owner_view &view, const std::string &address,
+                                       const election_rules &rules, time_point now);
 
 //! How long a candidate with \a processorShare of a core waits; \a drawn is from 0 to 1.
 milliseconds candidacyDelay(const election_rules &rules, double processorShare, double drawn);
 
 //! Tries to become the owner, once. Empty when another one was faster or the store did not tell.
 kernel::task<std::optional<won_term>> tryTakeOffice(store::store_api store, std::string address,
-                                                    owner_view view, election_rules rules);
+                                                    owner_view view, election_rules rules, time_point now);
 
 //! How a renewal ended.
 enum class renewal { held, lost, unknown };
--- a/src/jobs/waiting_watch.cpp
+++ b/src/jobs/waiting_watch.cpp
@@ -178,8 +178,8 @@
     json out{{"worker", session.incarnation},
              {"listed", session.listed},
              {"dead", session.dead},
-             {"leaseOverInMs", (session.leaseOver - view.now).count()},
-             {"leaseInherited", session.leaseOver <= inheritedLeaseEnd(view.sessions, view.officeSince)},
+             {"leaseOverInMs", (leaseEnd(session) - view.now).count()},
+             {"leaseInherited", session.leaseOver <= session.inheritedUntil},
              {"ordersUnderWay", session.ordering.size()},
              {"answeredBeforeMs", nullptr},
              {"silentForMs", nullptr}};
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -45,14 +45,24 @@
     worker_session session;
     session.info = worker;
     session.incarnation = incarnationOf(worker);
-    session.leaseOver = inheritedUntil;
+    session.inheritedUntil = inheritedUntil;
     return session;
 }
 
 time_point inheritedLeaseEnd(const session_rules &rules, time_point since)
+{
+    return inheritedLeaseEndAfter(rules, since + rules.detachedRenewals);
+}
+
+time_point inheritedLeaseEndAfter(const session_rules &rules, time_point over)
 {
     const milliseconds longest(rules.lease.count() * 100 / (100 - rules.clockDriftPercent));
-    return since + rules.detachedRenewals + longest + rules.leaseMargin;
+    return over + longest + rules.leaseMargin;
+}
+
+time_point leaseEnd(const worker_session &session)
+{
+    return std::max(session.leaseOver, session.inheritedUntil);
 }
 
 std::optional<std::int64_t> nextLeaseEnd(const worker_session &session, const session_rules &rules,
@@ -137,7 +147,7 @@
     const auto load = book.loads.find(session.incarnation);
     // Without an address it can't be asked.
     const bool unreachable = session.info.address.empty() || isSilent(session, rules, now);
-    const bool over = session.dead || (unreachable && now >= session.leaseOver);
+    const bool over = session.dead || (unreachable && now >= leaseEnd(session));
     if (load == book.loads.end() || !over)
         return records;
     for (const auto &[task, run] : load->second.runs) {
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -44,8 +44,10 @@
     //! The worker has answered this owner's term, so that no order of an earlier term counts any more.
     bool fenced = false;
     std::optional<clock_reading> clock;
-    //! When the worker's lease is certainly over.
+    //! When the lease that this owner has granted is certainly over.
     time_point leaseOver{};
+    //! The same for leases of earlier owners.
+    time_point inheritedUntil{};
     time_point answeredAt{};
     //! Since when orders have gone unanswered; zero while none has since the last answer.
     time_point unansweredSince{};
@@ -66,6 +68,12 @@
 //! Until when a worker may run what an earlier owner started, if this one took office at \a since.
 time_point inheritedLeaseEnd(const session_rules &rules, time_point since);
 
+//! The same once it is known that no earlier owner renewed anything after \a over.
+time_point inheritedLeaseEndAfter(const session_rules &rules, time_point over);
+
+//! When every lease of the worker is certainly over.
+time_point leaseEnd(const worker_session &session);
+
 //! The end of a new lease on the worker's clock; empty before its clock is known. While orders go unanswered
 //! it does not move: else the lease of a worker that is gone would never count as over.
 std::optional<std::int64_t> nextLeaseEnd(const worker_session &session, const session_rules &rules,
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -77,7 +77,8 @@
     {
         store.erase(fleet::election_key::owner);
         view.termRevision = store.revisionOf(fleet::election_key::term);
-        const auto won = await(fleet::tryTakeOffice(store.api(), "a:1", view, fleet::election_rules{}));
+        const auto won = await(
+            fleet::tryTakeOffice(store.api(), "a:1", view, fleet::election_rules{}, kernel::monotonicNow()));
         ASSERT_TRUE(won);
         view.term = won->term;
         fleet::owner_services services;
--- a/tests/unit/owner_election_test.cpp
+++ b/tests/unit/owner_election_test.cpp
@@ -25,7 +25,8 @@
         tests::runToEnd(context,
                         [](meeting &self, std::string who, fleet::owner_view seen,
                            std::optional<fleet::won_term> &result) -> task<void> {
-                            result = co_await fleet::tryTakeOffice(self.store.api(), who, seen, self.rules);
+                            result = co_await fleet::tryTakeOffice(self.store.api(), who, seen, self.rules,
+                                                                   kernel::time_point{});
                         }(*this, address, view, won));
         return won;
     }
--- a/tests/unit/waiting_watch_test.cpp
+++ b/tests/unit/waiting_watch_test.cpp
@@ -480,7 +480,7 @@
     observed_fleet fleet;
     jobs::worker_session &worker = fleet.addWorker("a");
     fleet.sessions.detachedRenewals = kernel::milliseconds(0);
-    worker.leaseOver = at(0);
+    worker.inheritedUntil = at(0);
     jobs::noteSilence(worker, at(officeMs + 500));
     const std::int64_t later = officeMs + 3500;
     const std::int64_t elapsed = (at(later) - worker.clock->at).count() * 98 / 100;
