Hand over what is known of silent workers when the owner stops by plan

Cause: an owner that stopped wrote nothing of what it had found out, and each successor waited the longest inherited lease from its own begin; ends that were counted in the last moments were lost with it. The new test of fleet_test fails without takeHandedLeases (three planned changes, not restarted after 2.5 s) and passes with it. Why it works: the last entry of an owner holds the ends that it has counted and, for each worker that leaves orders unanswered, in how long its leases are over. Only the next term may use it: an owner in between may have granted more. An owner that stops waits for its commit only, no longer for looks under way, so that the office is empty for a shorter time.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -157,17 +157,23 @@
         ghost->session.listed = false;
         m_workers[incarnation] = ghost;
     }
+    takeHandedLeases();
     for (const auto &[incarnation, worker] : m_workers)
         drive(worker);
+    m_committing = true;
     kernel::spawn(m_context.get_executor(), commitLoop(shared_from_this()));
     kernel::spawn(m_context.get_executor(), tickLoop(shared_from_this()));
 }
 
 task<void> job_owner::stop()
 {
+    const bool worked = m_committing;
     resign("stopping");
-    while (m_loops > 0)
+    // Looks and orders under way are left alone: a successor needs not wait for their answers.
+    while (m_committing)
         co_await kernel::sleepFor(milliseconds(5));
+    if (worked)
+        co_await handOver();
 }
 
 void job_owner::resign(const std::string &reason)
@@ -185,7 +191,6 @@
 
 task<void> job_owner::commitLoop(self_ptr)
 {
-    ++m_loops;
     while (!m_over) {
         const time_point begun = m_services.clock();
         const batch next = prepareBatch(begun);
@@ -201,12 +206,11 @@
             co_await kernel::sleepFor(interval - spent);
         co_await m_commitSignal.wait(milliseconds(500));
     }
-    --m_loops;
+    m_committing = false;
 }
 
-job_owner::batch job_owner::prepareBatch(time_point now)
+std::vector<jobs::task_name> job_owner::takeObserved(batch &next, time_point now)
 {
-    batch next;
     std::vector<jobs::task_name> touched;
     for (ledger_record &record : std::exchange(m_observed, {})) {
         if (!jobs::apply(m_book, record))
@@ -215,6 +219,13 @@
         touched.push_back(record.task);
         next.records.push_back(std::move(record));
     }
+    return touched;
+}
+
+job_owner::batch job_owner::prepareBatch(time_point now)
+{
+    batch next;
+    const std::vector<jobs::task_name> touched = takeObserved(next, now);
     for (const auto &[incarnation, worker] : m_workers)
         next.ends[incarnation] = worker->session.endsRead;
     const jobs::fleet_config_ptr config = m_services.config();
@@ -334,8 +345,11 @@
     fence.ownerKey = election_key::owner;
     fence.ownerRevision = m_term.ownerRevision;
     while (true) {
-        const store::append_result result = co_await store::appendFenced(
-            m_services.store, job_key::journal, entry, fence, store::append_limits{});
+        store::append_limits limits;
+        if (m_over)
+            limits.attempts = 1;
+        const store::append_result result
+            = co_await store::appendFenced(m_services.store, job_key::journal, entry, fence, limits);
         if (result.status == append_status::committed) {
             m_index = entry.index;
             ++m_counters.commits;
@@ -369,7 +383,6 @@
 
 task<void> job_owner::tickLoop(self_ptr)
 {
-    ++m_loops;
     while (!m_over) {
         const time_point now = m_services.clock();
         for (auto place = m_workers.begin(); place != m_workers.end();) {
@@ -396,7 +409,6 @@
         }
         co_await kernel::sleepFor(m_services.rules.tickInterval);
     }
-    --m_loops;
 }
 
 void job_owner::observe(std::vector<ledger_record> records)
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -120,7 +120,7 @@
     kernel::task<bool> load();
     //! Starts the loops; call once, after load().
     void start();
-    //! Ends the loops after the commit in flight.
+    //! Ends the loops after the commit in flight, and leaves word of what a successor can't find out itself.
     kernel::task<void> stop();
     //! Another owner has been seen, or the office is lost.
     bool isOver() const { return m_over; }
@@ -181,6 +181,9 @@
     kernel::task<void> loadPairs();
     kernel::task<void> savePairs(self_ptr self, std::string pairs);
     kernel::task<bool> appendBatch(const batch &next);
+    kernel::task<void> handOver();
+    void takeHandedLeases();
+    std::vector<jobs::task_name> takeObserved(batch &next, time_point now);
     kernel::task<void> lookOnce(driven_ptr worker);
 
     void takeJobKey(const store::stored_item &item);
@@ -238,7 +241,7 @@
     std::set<std::pair<std::string, std::uint32_t>> m_stopping; // task and run
     std::shared_ptr<store::prefix_follower> m_jobs;
     kernel::wake_signal m_commitSignal;
-    std::size_t m_loops = 0;
+    bool m_committing = false;
     bool m_loaded = false;
     bool m_over = false;
     owner_counters m_counters;
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -260,6 +260,9 @@
         return applyEnded(book, record);
     case record_kind::gaveUp:
         return endJob(book, record.task.job, job_status::failed);
+    case record_kind::leaseHandedOver:
+        book.handedLeases[record.worker] = {record.term, record.leaseLeft};
+        return true;
     }
     return false;
 }
@@ -299,6 +302,8 @@
     case record_kind::ended:
         return json::array(
             {"ended", formatTask(record.task), record.run, static_cast<int>(record.end), record.checkpoint});
+    case record_kind::leaseHandedOver:
+        return json::array({"leaseHandedOver", record.worker, record.leaseLeft.count(), record.term});
     case record_kind::gaveUp:
         break;
     }
@@ -314,6 +319,13 @@
         record.task.job = in.at(1);
         return record;
     }
+    if (kind == "leaseHandedOver") {
+        record.kind = record_kind::leaseHandedOver;
+        record.worker = in.at(1);
+        record.leaseLeft = milliseconds(in.at(2).get<std::int64_t>());
+        record.term = in.at(3);
+        return record;
+    }
     const auto name = parseTask(in.at(1).get<std::string>());
     if (!name || (kind != "started" && kind != "ended"))
         throw std::invalid_argument("malformed record " + in.dump());
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -71,7 +71,13 @@
     std::map<task_name, std::string> serving;
 };
 
-enum class record_kind { started, ended, gaveUp };
+enum class record_kind {
+    started,
+    ended,
+    gaveUp,
+    //! The last word of an owner on a worker that leaves orders unanswered.
+    leaseHandedOver
+};
 
 //! One durable change of a ledger.
 struct ledger_record
@@ -79,10 +85,20 @@
     record_kind kind = record_kind::started;
     task_name task; // gaveUp uses its job only
     std::uint32_t run = 0;
-    //! Incarnation of the worker, in started.
+    //! Incarnation of the worker, in started and leaseHandedOver.
     std::string worker;
     run_end end = run_end::done;
     std::string checkpoint;
+    //! In leaseHandedOver: the owner's term, and in how long every lease of the worker is over.
+    std::uint64_t term = 0;
+    milliseconds leaseLeft{0};
+};
+
+//! What an owner that stopped has said of a worker's leases; it has granted nothing since.
+struct handed_lease
+{
+    std::uint64_t term = 0;
+    milliseconds left{0};
 };
 
 //! Every open job and how far it has come: accepted jobs, plus the fold of the journal.
@@ -94,6 +110,8 @@
     std::map<std::string, worker_load, std::less<>> loads;
     //! Next due time of each job that has occurrences by time, in milliseconds since the epoch.
     std::set<std::pair<std::int64_t, std::string>> timers;
+    //! By incarnation of the worker.
+    std::map<std::string, handed_lease> handedLeases;
 };
 
 //! Adds an accepted job. A job that is known already stays as it is.
--- a/tests/fakes/fake_fleet.h
+++ b/tests/fakes/fake_fleet.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,7 +42,9 @@
         jobs::worker_port port;
         port.start
             = [this](jobs::order_target target, jobs::start_order order) -> kernel::task<jobs::order_answer> {
-            co_return start(target, order);
+            if (silent.contains(target.workerId))
+                co_await kernel::sleepFor(answerTimeout);
+            co_return silent.contains(target.workerId) ? jobs::order_answer() : start(target, order);
         };
         port.stop = [this](jobs::order_target target, jobs::task_name name,
                            std::uint32_t run) -> kernel::task<jobs::order_answer> {
@@ -54,7 +57,9 @@
             = [this](jobs::order_target target, jobs::look_order order) -> kernel::task<jobs::look_answer> {
             if (order.wait.count() > 0)
                 co_await kernel::sleepFor(kernel::milliseconds(3));
-            co_return look(target, order);
+            if (silent.contains(target.workerId))
+                co_await kernel::sleepFor(answerTimeout);
+            co_return silent.contains(target.workerId) ? jobs::look_answer() : look(target, order);
         };
         port.pace = [](jobs::order_target, jobs::task_name, std::uint32_t,
                        int) -> kernel::task<jobs::order_answer> { co_return jobs::order_answer(); };
@@ -85,6 +90,9 @@
 
     std::map<std::string, worker_state> workers;
     std::vector<start_seen> starts;
+    //! Workers that are lost: orders to them go unanswered.
+    std::set<std::string> silent;
+    kernel::milliseconds answerTimeout{50};
     //! Starts of a task that was at work on another worker.
     int startsBesideARun = 0;
     //! Starts that are carried out although their answer is lost.
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -29,6 +29,8 @@
     std::shared_ptr<fleet::job_owner> owner;
     fleet::owner_view view;
     kernel::milliseconds workersAge{0};
+    std::vector<std::string> listed{"v", "w"};
+    jobs::session_rules sessions;
 
     void TearDown() override
     {
@@ -91,8 +93,9 @@
         services.configConfirmedAt = kernel::monotonicNow;
         services.workersConfirmedAt = [this] { return kernel::monotonicNow() - workersAge; };
         services.mayRenew = [] { return true; };
+        services.rules.sessions = sessions;
         owner = std::make_shared<fleet::job_owner>(context, std::move(services), *won);
-        for (const char *id : {"v", "w"})
+        for (const std::string &id : listed)
             owner->takeWorker(id, tests::worker(id));
         ASSERT_TRUE(await(owner->load()));
         owner->start();
@@ -158,6 +161,44 @@
     expectStartedOnce(5);
 }
 
+//! LOST on tichomer-ba-grown: while hosts were restarted in turn, each new owner waited the longest time that
+//! its predecessor might have renewed leases before it counted the runs of a worker that had left as over.
+TEST_F(fleet_day, PlannedChangesOfTheOwnerDoNotBeginTheWaitForALostWorkerAnew)
+{
+    listed = {"v", "w", "x"};
+    sessions.lease = kernel::milliseconds(1500);
+    sessions.silenceLimit = kernel::milliseconds(300);
+    takeOffice();
+    // There is none before the first owner.
+    owner->noteFormerHoldersOver();
+    fleet::caller_service service = callers();
+    auto lasting = tests::step(2, 20'000);
+    lasting.lasting = true;
+    await(service.submit(tests::makeJob(jobId, {lasting}), kernel::milliseconds(1000)));
+    ASSERT_TRUE(runUntil([this] { return owner->counters().starts == 2; }));
+    workers.silent.insert(workers.starts.back().worker);
+    std::erase(listed, workers.starts.back().worker);
+    owner->takeWorker(workers.starts.back().worker, std::nullopt);
+    const auto lost = std::chrono::steady_clock::now();
+    const auto restarted = [this] { return workers.starts.size() == 3; };
+    const auto passed
+        = [&lost](int ms) { return std::chrono::steady_clock::now() - lost > std::chrono::milliseconds(ms); };
+    // Each owner is stopped before the lease is over.
+    for (const int stopAt : {500, 900, 1300}) {
+        runUntil([&] { return passed(stopAt); });
+        ASSERT_TRUE(await([](std::shared_ptr<fleet::job_owner> present) -> task<bool> {
+            co_await present->stop();
+            co_return true;
+        }(owner)));
+        takeOffice();
+    }
+    constexpr int leaseAndMarginMs = 1500 * 100 / 98 + 300;
+    constexpr int planningMs = 700;
+    runUntil([&] { return restarted() || passed(leaseAndMarginMs + planningMs); });
+    EXPECT_TRUE(restarted());
+    EXPECT_EQ(workers.startsBesideARun, 1) << "the lost worker still shows its run";
+}
+
 TEST_F(fleet_day, AnEndIsAcknowledgedOnlyOnceItIsInTheJournal)
 {
     takeOffice();
