Count status questions that the owner leaves unanswered

Ruled out: counting the lines, which are also written when the owner answers and does not know the job.

--- a/src/fleet/caller_service.cpp
+++ b/src/fleet/caller_service.cpp
@@ -116,6 +116,7 @@
         result.status = *named;
         co_return result;
     }
+    m_counters.statusUnanswered += answer ? 0 : 1;
     // The owner is away or has not heard of the job yet; the store tells whether it was accepted.
     while (m_context.clock() < end) {
         const store_reply standing = co_await m_context.store.get(job_key::accepted + id);
--- a/src/fleet/caller_service.h
+++ b/src/fleet/caller_service.h
@@ -3,6 +3,7 @@
 #include "fleet/job_owner.h"
 #include "wire/peer_link.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,6 +46,12 @@
     std::size_t count = 0;
 };
 
+struct caller_counters
+{
+    //! Questions for a job's status that the owner left without an answer.
+    std::uint64_t statusUnanswered = 0;
+};
+
 //! What a caller service needs from its process.
 struct caller_context
 {
@@ -73,6 +80,7 @@
     kernel::task<status_result> status(std::string id, milliseconds patience);
     kernel::task<call_outcome> cancel(std::string id, milliseconds patience);
     kernel::task<pending_result> pending(std::string queue, milliseconds patience);
+    const caller_counters &counters() const { return m_counters; }
 
 private:
     kernel::task<call_outcome> createKey(std::string key, std::string value, milliseconds patience);
@@ -81,6 +89,7 @@
     json answerPending(const json &arguments) const;
 
     caller_context m_context;
+    caller_counters m_counters;
 };
 
 } // namespace almond::fleet
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -224,6 +224,18 @@
     EXPECT_EQ(workers.starts.size(), 3U);
 }
 
+TEST_F(fleet_day, StatusQuestionsThatTheOwnerLeavesUnansweredAreCounted)
+{
+    fleet::caller_service service = callers();
+    await(service.submit(twoSteps(), kernel::milliseconds(1000)));
+    await(service.status(jobId, kernel::milliseconds(1000)));
+    EXPECT_EQ(service.counters().statusUnanswered, 1U);
+    takeOffice();
+    ASSERT_TRUE(runUntil([this] { return owner->statusOf(jobId).has_value(); }));
+    await(service.status(jobId, kernel::milliseconds(1000)));
+    EXPECT_EQ(service.counters().statusUnanswered, 1U);
+}
+
 TEST_F(fleet_day, CallersAreToldTheTruthWhenTheStoreTurnsThemAway)
 {
     takeOffice();
