Show as metrics how long lasting tasks do not run, and why

The node's /metrics were empty. Ruled out: metrics that the watch itself keeps, since they would begin anew with each term; sums of the lines, of which some are left out.

--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -38,6 +38,8 @@
     : m_settings(std::move(settings))
     , m_platform(std::move(platform))
     , m_metrics(std::make_shared<prometheus::Registry>())
+    , m_counterExport(m_metrics)
+    , m_ownerMetrics(fleet::addOwnerMetrics(*m_metrics, jobs::watch_rules{}))
     , m_random(static_cast<std::minstd_rand::result_type>(
           std::hash<std::string>()(m_settings.id + m_settings.callersAddress)))
 {
@@ -199,8 +201,24 @@
     m_readinessServer->listen(m_settings.readinessAddress);
 }
 
+void node_daemon::exportCounters()
+{
+    m_counterExport.counter("almond_status_unanswered_total",
+                            "Questions for a job's status that the owner left without an answer.",
+                            [this] { return m_callers->counters().statusUnanswered; });
+}
+
+std::string node_daemon::collectMetrics()
+{
+    m_counterExport.update();
+    if (!m_ownerServes)
+        fleet::takeFindings(m_ownerMetrics, {});
+    return prometheus::TextSerializer().Serialize(m_metrics->Collect());
+}
+
 void node_daemon::openOperators()
 {
+    exportCounters();
     m_operatorServer
         = std::make_unique<http::server>(*m_context, http::server_limits{}, [this](http::request asked) {
               return answerOperator(std::move(asked));
@@ -213,8 +231,7 @@
     const std::string_view target(asked.target().data(), asked.target().size());
     const http::target_parts parts = http::splitTarget(target);
     if (parts.path == "/metrics")
-        return answerNow(
-            http::makeReply(http::status::ok, prometheus::TextSerializer().Serialize(m_metrics->Collect())));
+        return answerNow(http::makeReply(http::status::ok, collectMetrics()));
     if (parts.path == "/dump")
         return answerNow(http::makeJsonReply(http::status::ok, dump()));
     if (parts.path == "/explain" && m_owner)
@@ -302,6 +319,7 @@
     services.configConfirmedAt = [this] { return m_operatorKeys->confirmedAt(); };
     services.workersConfirmedAt = [this] { return m_workerKeys->confirmedAt(); };
     services.mayRenew = [this] { return kernel::monotonicNow() - m_renewedAt < m_election.detachedLimit; };
+    services.metrics = &m_ownerMetrics;
     services.rules.sessions.lease = m_settings.workerLease;
     services.rules.sessions.detachedRenewals = m_election.detachedLimit;
     m_owner = std::make_shared<fleet::job_owner>(*m_context, std::move(services), *won);
--- a/src/daemon/node_daemon.h
+++ b/src/daemon/node_daemon.h
@@ -7,6 +7,7 @@
 #include "http/server.h"
 #include "jobs/fleet_config.h"
 #include "jobs/worker_port.h"
+#include "observe/counter_export.h"
 #include "relay/order_carrier.h"
 #include "relay/order_sender.h"
 #include "store/prefix_follower.h"
@@ -61,6 +62,8 @@
     void openReadiness();
     void openOperators();
     kernel::task<http::reply> answerOperator(http::request asked);
+    void exportCounters();
+    std::string collectMetrics();
     kernel::task<void> electionLoop();
     kernel::task<void> clearFormerOffice();
     kernel::task<void> runForOffice();
@@ -83,6 +86,8 @@
     std::shared_ptr<store::prefix_follower> m_ownerKeys;
     std::shared_ptr<store::prefix_follower> m_workerKeys;
     std::shared_ptr<prometheus::Registry> m_metrics;
+    observe::counter_export m_counterExport;
+    fleet::owner_metrics m_ownerMetrics;
     jobs::fleet_config_ptr m_config = std::make_shared<jobs::fleet_config>();
     fleet::owner_view m_ownerView;
     std::unique_ptr<kernel::wake_signal> m_electionSignal;
--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -63,6 +63,8 @@
         m_index = entry.index;
     }
     m_loaded = true;
+    if (m_services.metrics)
+        takeLoadTime(*m_services.metrics, m_services.clock() - m_since);
     for (const std::string &id : m_cancelled)
         jobs::cancelJob(m_book, id);
     observe::log(log_level::info, "jobs loaded",
@@ -458,15 +460,11 @@
 
 json job_owner::dump() const
 {
-    return {{"room", describeRoom()},
-            {"term", m_term.term},
-            {"journalIndex", m_index},
-            {"jobs", m_book.jobs.size()},
-            {"jobsWithWaitingTasks", m_book.withWaiting.size()},
-            {"workers", m_workers.size()},
-            {"busyWorkers", m_book.loads.size()},
-            {"starts", m_counters.starts},
-            {"looks", m_counters.looks},
+    return {{"room", describeRoom()},       {"waiting", describeWaiting()},
+            {"term", m_term.term},          {"journalIndex", m_index},
+            {"jobs", m_book.jobs.size()},   {"jobsWithWaitingTasks", m_book.withWaiting.size()},
+            {"workers", m_workers.size()},  {"busyWorkers", m_book.loads.size()},
+            {"starts", m_counters.starts},  {"looks", m_counters.looks},
             {"commits", m_counters.commits}};
 }
 
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/owner_election.h"
+#include "fleet/owner_metrics.h"
 #include "jobs/interference.h"
 #include "jobs/job_account.h"
 #include "jobs/planner.h"
@@ -94,6 +95,8 @@
     std::function<time_point()> workersConfirmedAt;
     //! Whether the office was confirmed recently enough to renew the leases of tasks.
     std::function<bool()> mayRenew;
+    //! Null where nobody collects metrics; else it outlives the owner.
+    owner_metrics *metrics = nullptr;
     owner_rules rules;
 };
 
@@ -137,6 +140,8 @@
     json dump() const;
     //! What the usable workers have left and what waits for it.
     json describeRoom() const;
+    //! How many lasting tasks don't run, and the longest times of that.
+    json describeWaiting() const;
     json explain(const std::string &id) const;
     const owner_counters &counters() const { return m_counters; }
 
--- a/src/fleet/job_owner_watch.cpp
+++ b/src/fleet/job_owner_watch.cpp
@@ -64,6 +64,15 @@
     const jobs::fleet_config_ptr config = m_services.config();
     for (const jobs::watch_line &line : jobs::walkWaiting(m_waiting, viewOf(*config, workers, now)))
         observe::log(log_level::warning, line.message, line.fields);
+    if (m_services.metrics)
+        takeFindings(*m_services.metrics, m_waiting.found);
+}
+
+json job_owner::describeWaiting() const
+{
+    return {{"lastingTasks", m_waiting.found.lastingAway},
+            {"longestWaitMs", m_waiting.found.longestWait.count()},
+            {"longestGapMs", m_waiting.longestGap.count()}};
 }
 
 } // namespace almond::fleet
--- a/src/jobs/waiting_watch.cpp
+++ b/src/jobs/waiting_watch.cpp
@@ -246,8 +246,9 @@
     const auto &limits = state.watch.rules.lastingLimits;
     if (missing.limitsPassed == limits.size() || waited < limits.at(missing.limitsPassed))
         return;
-    while (missing.limitsPassed < limits.size() && waited >= limits.at(missing.limitsPassed))
-        ++missing.limitsPassed;
+    for (; missing.limitsPassed < limits.size() && waited >= limits.at(missing.limitsPassed);
+         ++missing.limitsPassed)
+        ++state.watch.found.overLimit.at(missing.limitsPassed).at(static_cast<std::size_t>(cause));
     if (!takeLine(state.watch, state.lines, state.view.now))
         return;
     json fields = describeTask(state.view, missing.task, state.rooms);
@@ -258,6 +259,23 @@
     state.lines.push_back({"lasting task waits long", std::move(fields)});
 }
 
+//! Since when \a run of \a task runs on \a session, as far as its worker has told.
+time_point beganAt(const worker_session &session, const task_name &task, std::uint32_t run, time_point now)
+{
+    const auto accepted = session.accepted.find(task);
+    return accepted != session.accepted.end() && accepted->second.first == run ? accepted->second.second
+                                                                               : now;
+}
+
+void noteGap(waiting_watch &watch, const absence &missing, milliseconds gap)
+{
+    // Before its first run a task has waited, but has not been interrupted.
+    if (missing.lastRun == 0)
+        return;
+    watch.found.gaps.push_back(gap);
+    watch.longestGap = std::max(watch.longestGap, gap);
+}
+
 void endAbsence(walk_state &state, absence missing, std::vector<absence> &present)
 {
     const auto owner = state.view.book.jobs.find(missing.task.job);
@@ -271,12 +289,12 @@
         present.push_back(std::move(missing));
         return;
     }
-    if (missing.limitsPassed == 0 || !takeLine(state.watch, state.lines, state.view.now))
+    const time_point now = state.view.now;
+    const time_point end = inSight ? now : beganAt(*worker->session, missing.task, own->run, now);
+    if (!inSight)
+        noteGap(state.watch, missing, end - missing.since);
+    if (missing.limitsPassed == 0 || !takeLine(state.watch, state.lines, now))
         return;
-    time_point end = state.view.now;
-    const auto accepted = worker->session->accepted.find(missing.task);
-    if (!inSight && accepted != worker->session->accepted.end() && accepted->second.first == own->run)
-        end = accepted->second.second;
     state.lines.push_back({inSight ? "lasting task is in sight again" : "lasting task runs again",
                            {{"task", formatTask(missing.task)},
                             {"run", own->run},
@@ -350,8 +368,11 @@
         idle.since = state.view.now;
     idle.seenAt = state.view.now;
     const milliseconds lasted = state.view.now - idle.since;
-    if (idle.named || lasted < state.watch.rules.idleLimit
-        || !takeLine(state.watch, state.lines, state.view.now))
+    if (idle.named || lasted < state.watch.rules.idleLimit)
+        return;
+    state.watch.found.idleJobs += idle.counted ? 0 : 1;
+    idle.counted = true;
+    if (!takeLine(state.watch, state.lines, state.view.now))
         return;
     idle.named = true;
     json fields = describeTask(state.view, *task, state.rooms);
@@ -440,6 +461,7 @@
 std::vector<watch_line> walkWaiting(waiting_watch &watch, const fleet_view &view)
 {
     watch.walkedAt = view.now;
+    watch.found = {};
     forgetEnded(watch, view);
     walk_state state{watch, view, {}, {}};
     const std::vector<away_task> assigned = assignedAway(view);
@@ -450,6 +472,9 @@
     std::inplace_merge(lasting.begin(), lasting.begin() + waitingEnd, lasting.end(), beforeByTask);
     followAbsences(state, lasting);
     followIdleJobs(state, assigned);
+    watch.found.lastingAway = watch.absences.size();
+    for (const absence &missing : watch.absences)
+        watch.found.longestWait = std::max(watch.found.longestWait, view.now - missing.since);
     return std::move(state.lines);
 }
 
--- a/src/jobs/waiting_watch.h
+++ b/src/jobs/waiting_watch.h
@@ -50,6 +50,20 @@
     time_point since{};
     time_point seenAt{};
     bool named = false;
+    bool counted = false;
+};
+
+//! What one walk found, for metrics.
+struct walk_findings
+{
+    //! From the end of a lasting task's run to the begin of the next one, of the tasks that run again.
+    std::vector<milliseconds> gaps;
+    //! Lasting tasks that have passed a limit in this walk, by limit and cause.
+    std::array<std::array<std::size_t, waitCauseCount>, 2> overLimit{};
+    //! Jobs that have passed the limit of idle jobs in this walk.
+    std::size_t idleJobs = 0;
+    std::size_t lastingAway = 0;
+    milliseconds longestWait{};
 };
 
 //! A line for the log.
@@ -67,6 +81,9 @@
     //! Sorted by task.
     std::vector<absence> absences;
     std::map<std::string, idle_job, std::less<>> idle;
+    walk_findings found;
+    //! The longest gap of the term.
+    milliseconds longestGap{};
     time_point walkedAt{};
     time_point forgotAt{};
     time_point secondBegun{};
@@ -87,7 +104,7 @@
 time_point waitingSince(const waiting_watch &watch, const fleet_view &view, const task_name &task,
                         std::uint32_t lastRun);
 
-//! Walks over what waits and returns what there is to say.
+//! Walks over what waits and returns what there is to say; leaves the walk's findings in \a watch.
 std::vector<watch_line> walkWaiting(waiting_watch &watch, const fleet_view &view);
 
 //! What made the runs in \a lapsed count as over, for the log.
--- a/tests/unit/node_test.cpp
+++ b/tests/unit/node_test.cpp
@@ -1,4 +1,5 @@
 #include "daemon/node_daemon.h"
+#include "http/client.h"
 #include "tests/fakes/fake_fleet.h"
 #include "tests/fakes/shared_store.h"
 #include "tests/unit/job_fixtures.h"
@@ -12,6 +13,7 @@
 using kernel::task;
 
 constexpr const char *jobId = "00000000000000aa";
+constexpr const char *operatorAddress = "127.0.0.1:23918";
 
 daemon::node_settings nodeSettings()
 {
@@ -20,7 +22,7 @@
     settings.failureDomain = "west-a";
     settings.callersAddress = "127.0.0.1:0";
     settings.readinessAddress = "127.0.0.1:0";
-    settings.operatorAddress = "127.0.0.1:0";
+    settings.operatorAddress = operatorAddress;
     settings.peerAddress = "127.0.0.1:23917";
     settings.storeAddress = "127.0.0.1:1";
     settings.workerLease = kernel::milliseconds(5400);
@@ -97,4 +99,37 @@
     EXPECT_TRUE(world.runUntil([&] { return stopped; }));
 }
 
+TEST(Node, ItShowsTheMetricsOfItsTermAndOfCallers)
+{
+    node_world world;
+    world.start();
+    http::connection_pool pool(world.context, {});
+    std::string page;
+    bool asked = false;
+    const auto ask = [&] {
+        http::request wanted(boost::beast::http::verb::get, "/metrics", 11);
+        wanted.set(boost::beast::http::field::host, operatorAddress);
+        asked = true;
+        boost::asio::co_spawn(world.context,
+                              pool.exchange(operatorAddress, std::move(wanted), kernel::milliseconds(1000)),
+                              [&](const std::exception_ptr &, const http::exchange_result &result) {
+                                  page = result.answer.body();
+                                  asked = false;
+                              });
+    };
+    EXPECT_TRUE(world.runUntil([&] {
+        if (!asked)
+            ask();
+        return page.find("almond_jobs_load_seconds_count 1\n") != std::string::npos;
+    })) << page;
+    for (const char *line : {"almond_lasting_task_gap_seconds_count 0\n", "almond_lasting_tasks_waiting 0\n",
+                             "almond_lasting_task_longest_wait_seconds 0\n",
+                             "almond_jobs_idle_with_room_total 0\n", "almond_status_unanswered_total 0\n"})
+        EXPECT_NE(page.find(line), std::string::npos) << line;
+    bool stopped = false;
+    boost::asio::co_spawn(world.context, world.node->stop(),
+                          [&](const std::exception_ptr &) { stopped = true; });
+    EXPECT_TRUE(world.runUntil([&] { return stopped; }));
+}
+
 } // namespace
--- /dev/null
+++ b/tests/unit/owner_metrics_test.cpp
@@ -0,0 +1,175 @@
+#include "fleet/owner_metrics.h"
+
+#include "tests/unit/observed_fleet.h"
+
+#include <gtest/gtest.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+//! What the metrics show of tasks that wait.
+namespace {
+
+using namespace almond;
+using jobs::run_end;
+using tests::lastingStep;
+using tests::observed_fleet;
+using tests::officeMs;
+using tests::task;
+
+struct collected_fleet : observed_fleet
+{
+    prometheus::Registry registry;
+    fleet::owner_metrics metrics = fleet::addOwnerMetrics(registry, watch.rules);
+
+    void collectUntil(std::int64_t ms)
+    {
+        while (nowMs + 500 <= ms) {
+            walkAt(nowMs + 500);
+            fleet::takeFindings(metrics, watch.found);
+        }
+    }
+
+    //! Tells whether the page for collectors has \a line, such as "name 1".
+    bool shows(const std::string &line) const
+    {
+        const std::string page = "\n" + prometheus::TextSerializer().Serialize(registry.Collect());
+        return page.find("\n" + line + "\n") != std::string::npos;
+    }
+};
+
+TEST(OwnerMetrics, AllAreShownBeforeAnythingWaits)
+{
+    collected_fleet fleet;
+    EXPECT_TRUE(fleet.shows("almond_lasting_task_gap_seconds_count 0"));
+    EXPECT_TRUE(fleet.shows("almond_jobs_idle_with_room_total 0"));
+    EXPECT_TRUE(fleet.shows("almond_lasting_tasks_waiting 0"));
+    EXPECT_TRUE(fleet.shows("almond_lasting_task_longest_wait_seconds 0"));
+    EXPECT_TRUE(fleet.shows("almond_jobs_load_seconds_count 0"));
+    for (const std::string limit : {"6", "9"}) {
+        for (std::size_t cause = 0; cause < jobs::waitCauseCount; ++cause) {
+            std::string line = "almond_lasting_tasks_over_limit_total{cause=\"";
+            line += jobs::causeName(static_cast<jobs::wait_cause>(cause));
+            line += "\",limit_seconds=\"" + limit + "\"} 0";
+            EXPECT_TRUE(fleet.shows(line)) << line;
+        }
+    }
+}
+
+TEST(OwnerMetrics, AnInterruptedTaskIsCountedAtEachLimitAndItsGapOnce)
+{
+    collected_fleet fleet;
+    fleet.add({lastingStep()});
+    jobs::worker_session &worker = fleet.addWorker("a", 1500);
+    fleet.start(task, 1, worker);
+    fleet.accept(task, 1, worker);
+    fleet.nowMs = 2000;
+    fleet.end(task, 1, run_end::failed);
+    worker.info.capacity.millicores = 500;
+    fleet.collectUntil(7500);
+    EXPECT_TRUE(fleet.shows("almond_lasting_tasks_waiting 1"));
+    EXPECT_TRUE(fleet.shows("almond_lasting_task_longest_wait_seconds 5.5"));
+    EXPECT_TRUE(
+        fleet.shows("almond_lasting_tasks_over_limit_total{cause=\"no room\",limit_seconds=\"6\"} 0"));
+    fleet.collectUntil(8000);
+    EXPECT_TRUE(
+        fleet.shows("almond_lasting_tasks_over_limit_total{cause=\"no room\",limit_seconds=\"6\"} 1"));
+    EXPECT_TRUE(
+        fleet.shows("almond_lasting_tasks_over_limit_total{cause=\"no room\",limit_seconds=\"9\"} 0"));
+    fleet.collectUntil(11'500);
+    EXPECT_TRUE(
+        fleet.shows("almond_lasting_tasks_over_limit_total{cause=\"no room\",limit_seconds=\"6\"} 1"));
+    EXPECT_TRUE(
+        fleet.shows("almond_lasting_tasks_over_limit_total{cause=\"no room\",limit_seconds=\"9\"} 1"));
+    EXPECT_TRUE(fleet.shows("almond_lasting_task_gap_seconds_count 0"));
+    fleet.start(task, 2, worker);
+    fleet.accept(task, 2, worker);
+    fleet.collectUntil(13'000);
+    EXPECT_TRUE(fleet.shows("almond_lasting_task_gap_seconds_count 1"));
+    EXPECT_TRUE(fleet.shows("almond_lasting_task_gap_seconds_sum 9.5"));
+    EXPECT_TRUE(fleet.shows("almond_lasting_task_gap_seconds_bucket{le=\"9\"} 0"));
+    EXPECT_TRUE(fleet.shows("almond_lasting_task_gap_seconds_bucket{le=\"10\"} 1"));
+    EXPECT_TRUE(fleet.shows("almond_lasting_tasks_waiting 0"));
+    EXPECT_TRUE(fleet.shows("almond_lasting_task_longest_wait_seconds 0"));
+    EXPECT_EQ(fleet.watch.longestGap, jobs::milliseconds(9500));
+}
+
+TEST(OwnerMetrics, TheWaitBeforeAFirstRunIsNoGap)
+{
+    collected_fleet fleet;
+    fleet.add({lastingStep()});
+    jobs::worker_session &worker = fleet.addWorker("a");
+    fleet.collectUntil(3000);
+    EXPECT_TRUE(fleet.shows("almond_lasting_tasks_waiting 1"));
+    fleet.start(task, 1, worker);
+    fleet.accept(task, 1, worker);
+    fleet.collectUntil(4000);
+    EXPECT_TRUE(fleet.shows("almond_lasting_tasks_waiting 0"));
+    EXPECT_TRUE(fleet.shows("almond_lasting_task_gap_seconds_count 0"));
+}
+
+TEST(OwnerMetrics, ATaskThatRanOutOfSightHasNoGap)
+{
+    collected_fleet fleet;
+    fleet.add({lastingStep()});
+    jobs::worker_session &worker = fleet.addWorker("a");
+    fleet.start(task, 1, worker);
+    fleet.accept(task, 1, worker);
+    jobs::noteSilence(worker, tests::at(fleet.nowMs));
+    fleet.collectUntil(7500);
+    EXPECT_TRUE(
+        fleet.shows("almond_lasting_tasks_over_limit_total{cause=\"run not over\",limit_seconds=\"6\"} 1"));
+    fleet.answer(worker);
+    fleet.collectUntil(8000);
+    EXPECT_TRUE(fleet.shows("almond_lasting_tasks_waiting 0"));
+    EXPECT_TRUE(fleet.shows("almond_lasting_task_gap_seconds_count 0"));
+}
+
+TEST(OwnerMetrics, TasksAreCountedOfWhichTheLogHasNoLine)
+{
+    collected_fleet fleet;
+    fleet.add({lastingStep(50)});
+    fleet.addWorker("a", 500);
+    fleet.watch.rules.linesPerSecond = 7;
+    fleet.collectUntil(officeMs + 6000);
+    EXPECT_TRUE(
+        fleet.shows("almond_lasting_tasks_over_limit_total{cause=\"no room\",limit_seconds=\"6\"} 50"));
+    EXPECT_TRUE(fleet.shows("almond_lasting_tasks_waiting 50"));
+}
+
+TEST(OwnerMetrics, AnIdleJobIsCountedOnceEvenWithoutALine)
+{
+    for (const std::size_t lines : {0U, 20U}) {
+        collected_fleet fleet;
+        fleet.watch.rules.linesPerSecond = lines;
+        fleet.add({tests::step(1, 1000)});
+        fleet.addWorker("a");
+        fleet.collectUntil(4000);
+        EXPECT_TRUE(fleet.shows("almond_jobs_idle_with_room_total 0"));
+        fleet.collectUntil(10'000);
+        EXPECT_TRUE(fleet.shows("almond_jobs_idle_with_room_total 1"));
+    }
+}
+
+TEST(OwnerMetrics, EmptyFindingsShowThatNothingWaitsAndKeepWhatWasCounted)
+{
+    collected_fleet fleet;
+    fleet.add({lastingStep()});
+    fleet.addWorker("a", 500);
+    fleet.collectUntil(officeMs + 6000);
+    fleet::takeFindings(fleet.metrics, {});
+    EXPECT_TRUE(fleet.shows("almond_lasting_tasks_waiting 0"));
+    EXPECT_TRUE(fleet.shows("almond_lasting_task_longest_wait_seconds 0"));
+    EXPECT_TRUE(
+        fleet.shows("almond_lasting_tasks_over_limit_total{cause=\"no room\",limit_seconds=\"6\"} 1"));
+}
+
+TEST(OwnerMetrics, EachLoadOfTheJobsIsMeasured)
+{
+    collected_fleet fleet;
+    fleet::takeLoadTime(fleet.metrics, jobs::milliseconds(300));
+    EXPECT_TRUE(fleet.shows("almond_jobs_load_seconds_count 1"));
+    EXPECT_TRUE(fleet.shows("almond_jobs_load_seconds_bucket{le=\"0.25\"} 0"));
+    EXPECT_TRUE(fleet.shows("almond_jobs_load_seconds_bucket{le=\"0.5\"} 1"));
+}
+
+} // namespace
