Don't count failures during a quarantine towards the next one

A worker that was sound again could get no work for a further, doubled pause after its first long run. Cause: runs that were under way when a quarantine began were kept from renewing it, but still added to the doubt: each failing run made it take seven more good ones until a single long run was forgiven again. With many tasks on a worker that is dozens. Why it works: evidence against a worker is not taken while it is quarantined, as the comment there and the interface say. Good runs still count. Ruled out: capping the doubt at the limit, which would also forget failures that come before a quarantine.

--- a/src/placement/worker_health.cpp
+++ b/src/placement/worker_health.cpp
@@ -29,9 +29,11 @@
             health.quarantines = 0;
         return;
     }
-    health.doubt += 1.0;
     // Runs that were under way when the quarantine began tell nothing new.
-    if (health.doubt <= rules.limit || isQuarantined(health, now))
+    if (isQuarantined(health, now))
+        return;
+    health.doubt += 1.0;
+    if (health.doubt <= rules.limit)
         return;
     const int shift = std::min(health.quarantines, longestBackoffShift);
     health.quarantinedUntil = now + std::min(rules.longestPause, rules.firstPause * (1 << shift));
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -318,6 +318,22 @@
     EXPECT_FALSE(isQuarantined(health, released + 2 * rules.firstPause));
 }
 
+//! Runs that failed while their worker was quarantined counted towards the next quarantine: a worker with
+//! many tasks got there after its next failure, even after dozens of good runs.
+TEST(Quarantine, FailuresDuringAQuarantineDoNotCountTowardsTheNextOne)
+{
+    worker_health health;
+    const quarantine_rules rules;
+    const time_point now = kernel::fromMillis(1000);
+    for (int run = 0; run < 20; ++run)
+        recordEvidence(health, rules, run_evidence::failure, now);
+    const time_point released = now + rules.firstPause;
+    for (int run = 0; run < 12; ++run)
+        recordEvidence(health, rules, run_evidence::success, released);
+    recordEvidence(health, rules, run_evidence::failure, released);
+    EXPECT_FALSE(isQuarantined(health, released));
+}
+
 TEST(Quarantine, FewFailuresAmongManySuccessesLeaveAWorkerInUse)
 {
     worker_health health;
