Bound the quarantine of a worker so that sound room is used in time

Cause: pauses double up to 60 s. A worker that failed all its runs for 6.5 s stayed out for 7.7 s more, 9.5 s after a second such trouble. A sound worker of whose tasks one in four takes five times as long as the others reached pauses of 60 s. Whatever falls free on such workers stays empty meanwhile. Evidence: two tests of worker_conduct_test with the time as an argument failed before with these figures and pass now, as do the other eight. Why it works: a pause ends after 2.5 s at the latest, less than the 3 s in which a lost lasting task must run again. In a trouble of 6.5 s a worker is tried as often as before: after 2 s and after some 4.5 s instead of 6. Ruled out: letting only lasting tasks onto quarantined workers (they would go to sick ones first, where nothing else takes room); a pause of 4 s (enough after a trouble, too long for sound workers with uneven tasks).

--- a/src/jobs/worker_conduct.h
+++ b/src/jobs/worker_conduct.h
@@ -12,12 +12,16 @@
 using placement::run_evidence;
 using placement::worker_health;
 
+//! Longest quarantine of a worker. A lost lasting task must run within 3 s where sound workers have room,
+//! also where the only ones have just turned sound; the rest is for planning and the order.
+inline constexpr milliseconds longestQuarantine{2500};
+
 //! Bounds of what the runs on a worker tell about it.
 struct conduct_rules
 {
     //! Two failures within a few runs quarantine a worker: few runs end on it in the time that its trouble
     //! lasts, and a task has only two or three attempts.
-    placement::quarantine_rules quarantine{0.14, 1.5, milliseconds(2000), milliseconds(60'000)};
+    placement::quarantine_rules quarantine{0.14, 1.5, milliseconds(2000), longestQuarantine};
     //! Failures of one step that count against workers; a step that fails more often than it succeeds after
     //! these has a fault of its own.
     std::uint32_t tellingFailures = 2;
--- a/tests/unit/worker_conduct_test.cpp
+++ b/tests/unit/worker_conduct_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <vector>
 
 //! What the ends of runs tell of their workers. The patterns: a few workers that fail two runs in five and,
@@ -26,9 +27,9 @@
     jobs::worker_session session;
     std::uint64_t ends = 0;
 
-    explicit watched_worker(jobs::step_spec spec = tests::step(20, 100))
+    explicit watched_worker(jobs::step_spec spec = tests::step(20, 100), std::uint32_t count = 20)
     {
-        spec.count = 20;
+        spec.count = count;
         jobs::addJob(book, tests::makeJob(onlyJob, {spec}));
         session = jobs::openSession(tests::worker("w"), at(0));
     }
@@ -173,6 +174,52 @@
     }
 }
 
+//! Fails every run for \a lasts, as often as it gets work, and tells when its last quarantine ends.
+std::int64_t quarantineAfterTrouble(watched_worker &world, std::int64_t lasts)
+{
+    constexpr std::int64_t pauseBetweenFailures = 200;
+    for (std::int64_t now = 0; now <= lasts; now += pauseBetweenFailures) {
+        if (world.quarantined(now))
+            continue;
+        placement::recordEvidence(world.conduct.health, world.rules.quarantine, jobs::run_evidence::failure,
+                                  tests::at(now));
+    }
+    return kernel::toMillis(world.conduct.health.quarantinedUntil);
+}
+
+//! Workers that had turned sound again were kept out for many seconds, longer after each further trouble,
+//! while lost lasting tasks waited for room in a service that was full otherwise.
+TEST(WorkerConduct, AWorkerThatTurnedSoundIsUsedAgainBeforeALastingTaskWaitsTooLong)
+{
+    constexpr std::int64_t longestTrouble = 6500;
+    constexpr std::int64_t bound = 3000;
+    watched_worker world;
+    EXPECT_LT(quarantineAfterTrouble(world, longestTrouble) - longestTrouble, bound);
+    world.conduct.health.quarantinedUntil = {};
+    EXPECT_LT(quarantineAfterTrouble(world, longestTrouble) - longestTrouble, bound);
+}
+
+//! The same of sound workers whose tasks take unequally long: each long one doubled the pause, up to 60 s.
+TEST(WorkerConduct, ASoundWorkerWithUnevenTasksIsNeverKeptOutForLong)
+{
+    constexpr std::int64_t bound = 3000;
+    constexpr std::uint32_t tasks = 60;
+    watched_worker world(tests::step(tasks, 100), tasks);
+    world.learnDuration(1000);
+    std::int64_t now = 2000;
+    std::int64_t longest = 0;
+    for (std::uint32_t index = 3; index < tasks; ++index) {
+        world.start(index, now);
+        now += index % 4 == 0 ? 5000 : 1000;
+        world.end(index, run_end::done, now);
+        const std::int64_t until = kernel::toMillis(world.conduct.health.quarantinedUntil);
+        longest = std::max(longest, until - now);
+        now = std::max(now, until);
+    }
+    EXPECT_GT(longest, 0);
+    EXPECT_LT(longest, bound);
+}
+
 TEST(WorkerConduct, DurationsOfEndedJobsAreForgotten)
 {
     watched_worker world;
