Keep the last rules of a dropped queue in force for its accepted jobs

Cause: planner and give-up look a job's queue up in the configuration in force only, and skip the job when it isn't there. The owner notes them once for each queue, brings them up to each configuration that has the queue, and plans with the configuration in force together with the dropped queues of accepted jobs. AnAcceptedJobCarriesTheRulesOfItsQueue (platform_test) and the addition to JobCodec were written with the storing and were not run without it. All of fleet_test, ledger_test, platform_test pass. Ruled out: keeping dropped queues in every process's configuration (a process that starts later has none); a change of the planner (not needed). Jobs that were accepted before this change carry no rules and stay as they were.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -116,7 +116,12 @@
         return;
     }
     try {
-        jobs::addJob(m_book, jobs::decodeJob(json::parse(item.value)));
+        jobs::job accepted = jobs::decodeJob(json::parse(item.value));
+        // Noted once for all jobs of the queue.
+        const auto rules = std::exchange(accepted.acceptedUnder, nullptr);
+        if (rules && jobs::noteAccepted(m_queues, *rules))
+            m_configTaken = nullptr;
+        jobs::addJob(m_book, accepted);
     } catch (const json::exception &error) {
         observe::log(log_level::error, "an accepted job can't be read",
                      {{"key", item.key}, {"error", error.what()}});
@@ -203,6 +208,17 @@
     --m_loops;
 }
 
+jobs::fleet_config_ptr job_owner::configForJobs()
+{
+    const jobs::fleet_config_ptr present = m_services.config();
+    if (m_configTaken != present) {
+        jobs::refreshKnown(m_queues, *present);
+        m_configForJobs = jobs::withDropped(present, m_queues);
+        m_configTaken = present;
+    }
+    return m_configForJobs;
+}
+
 job_owner::batch job_owner::prepareBatch(time_point now)
 {
     batch next;
@@ -215,7 +231,7 @@
     }
     for (const auto &[incarnation, worker] : m_workers)
         next.ends[incarnation] = worker->session.endsRead;
-    const jobs::fleet_config_ptr config = m_services.config();
+    const jobs::fleet_config_ptr config = configForJobs();
     for (const std::string &id : jobs::jobsToGiveUp(m_book, *config, touched)) {
         ledger_record record;
         record.kind = jobs::record_kind::gaveUp;
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -183,6 +183,8 @@
     void takeJobKey(const store::stored_item &item);
     void takeCancel(const std::string &id);
     batch prepareBatch(time_point now);
+    //! The configuration in force, with the queues that it has dropped and that have accepted jobs.
+    jobs::fleet_config_ptr configForJobs();
     bool mayStart(time_point now) const;
     std::vector<jobs::candidate> candidates(time_point now) const;
     bool tooManyQuarantined(time_point now) const;
@@ -209,6 +211,10 @@
     won_term m_term;
     time_point m_since{};
     jobs::ledger m_book;
+    jobs::known_queues m_queues;
+    //! The configuration that m_configForJobs was made from; null when it must be made anew.
+    jobs::fleet_config_ptr m_configTaken;
+    jobs::fleet_config_ptr m_configForJobs;
     jobs::interference_view m_interference;
     time_point m_modelRefreshedAt{};
     time_point m_pairsSavedAt{};
--- a/src/jobs/fleet_config.h
+++ b/src/jobs/fleet_config.h
@@ -47,6 +47,28 @@
 
 using fleet_config_ptr = std::shared_ptr<const fleet_config>;
 
+//! The rules of a queue in one version of the configuration.
+struct queue_version
+{
+    std::int64_t version = 0;
+    queue_rules rules;
+};
+
+//! Last known rules of the queues that have accepted jobs, by name.
+using known_queues = std::map<std::string, queue_version, std::less<>>;
+
+//! The rules of \a queue in \a config, for a job that is accepted under them.
+std::shared_ptr<const queue_version> versionOf(const fleet_config &config, const queue_rules &queue);
+
+//! Notes the rules that a job was accepted under unless later ones are known. Tells whether they are news.
+bool noteAccepted(known_queues &known, const queue_version &accepted);
+
+//! Brings \a known up to \a config.
+void refreshKnown(known_queues &known, const fleet_config &config);
+
+//! \a config together with the queues of \a known that it has dropped, whose jobs go on by their last rules.
+fleet_config_ptr withDropped(const fleet_config_ptr &config, const known_queues &known);
+
 //! The queue that \a host and \a path select: the longest prefix that \a path begins with. Null for none.
 const queue_rules *findQueue(const fleet_config &config, std::string_view host, std::string_view path);
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -4,6 +4,7 @@
 #include "placement/types.h"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -50,6 +51,8 @@
     std::uint32_t mayBeAway = 0;
 };
 
+struct queue_version;
+
 //! A job as a caller hands it in.
 struct job
 {
@@ -66,6 +69,8 @@
     milliseconds interval{0};
     //! When a gateway accepted it, in milliseconds since the epoch.
     std::int64_t acceptedAtMs = 0;
+    //! Rules of the queue then, for an owner that never saw that configuration; null for an unknown one.
+    std::shared_ptr<const queue_version> acceptedUnder;
 };
 
 //! Names one task: the job, its occurrence, the step and the index within it.
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -1,5 +1,7 @@
 #include "jobs/job_codec.h"
 
+#include "jobs/fleet_config.h"
+
 #include <array>
 #include <charconv>
 
@@ -67,6 +69,27 @@
     return step;
 }
 
+//! What the planner needs of a queue; callers don't reach it by these rules.
+json encodeQueue(const queue_version &value)
+{
+    return {{"version", value.version},         {"service", value.rules.service},
+            {"priority", value.rules.priority}, {"attempts", value.rules.attempts},
+            {"stretch", value.rules.stretch},   {"targetMs", value.rules.targetDuration.count()}};
+}
+
+queue_version decodeQueue(const std::string &name, const json &in)
+{
+    queue_version value;
+    value.version = in.at("version");
+    value.rules.name = name;
+    value.rules.service = in.at("service");
+    value.rules.priority = in.at("priority");
+    value.rules.attempts = in.at("attempts");
+    value.rules.stretch = in.at("stretch");
+    value.rules.targetDuration = milliseconds(in.at("targetMs").get<std::int64_t>());
+    return value;
+}
+
 //! Takes the number before the next dot off \a text.
 bool takeNumber(std::string_view &text, std::uint32_t &number)
 {
@@ -88,6 +111,8 @@
     put(out, "repetitions", value.repetitions);
     put(out, "firstDueMs", value.firstDueMs);
     put(out, "intervalMs", value.interval.count());
+    if (value.acceptedUnder)
+        out["acceptedUnder"] = encodeQueue(*value.acceptedUnder);
     json &steps = out["steps"] = json::array();
     for (const step_spec &step : value.steps)
         steps.push_back(encodeStep(step));
@@ -104,6 +129,9 @@
     value.firstDueMs = document.value("firstDueMs", std::int64_t{0});
     value.interval = milliseconds(document.value("intervalMs", std::int64_t{0}));
     value.acceptedAtMs = document.value("acceptedAtMs", std::int64_t{0});
+    if (document.contains("acceptedUnder"))
+        value.acceptedUnder
+            = std::make_shared<const queue_version>(decodeQueue(value.queue, document.at("acceptedUnder")));
     for (const json &step : document.at("steps"))
         value.steps.push_back(decodeStep(step));
     return value;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -3,6 +3,10 @@
 #include "platform/worker_client.h"
 
 #include "jobs/job_check.h"
+#include "jobs/job_codec.h"
+#include "tests/fakes/shared_store.h"
+#include "tests/unit/job_fixtures.h"
+#include "tests/unit/loop.h"
 
 #include <gtest/gtest.h>
 
@@ -86,6 +90,39 @@
     EXPECT_TRUE(read.steps[1].lasting && read.steps[1].fills && read.steps[1].gang);
 }
 
+//! Of a job that was accepted before its queue was dropped, a later owner knew nothing to run it by.
+TEST(Submission, AnAcceptedJobCarriesTheRulesOfItsQueue)
+{
+    constexpr const char *id = "00000000000000aa";
+    boost::asio::io_context context;
+    fakes::shared_store store;
+    fleet::caller_context needs;
+    needs.store = store.api();
+    needs.clock = kernel::monotonicNow;
+    needs.unixClock = kernel::systemNow;
+    fleet::caller_service service(std::move(needs));
+    const auto config = std::make_shared<const jobs::fleet_config>(tests::fleetConfig());
+    platform::caller_api api(service, [config] { return config; });
+    http::request asked(http::verb::post, std::string("/checks/") + id, 11);
+    asked.set(http::field::host, "news.example");
+    asked.body() = R"({"steps":[{"count":1,"cpu":1}]})";
+    jobs::job stored;
+    tests::runToEnd(context,
+                    [](platform::caller_api *to, http::request sent, fakes::shared_store *from,
+                       jobs::job *read) -> kernel::task<void> {
+                        const http::reply answer = co_await to->handle(std::move(sent));
+                        EXPECT_EQ(answer.message.result(), http::status::ok);
+                        const store::store_api keys = from->api();
+                        const store::store_reply item
+                            = co_await keys.get(std::string(fleet::job_key::accepted) + id);
+                        *read = jobs::decodeJob(nlohmann::json::parse(item.value));
+                    }(&api, std::move(asked), &store, &stored));
+    ASSERT_TRUE(stored.acceptedUnder);
+    EXPECT_EQ(stored.acceptedUnder->version, config->version);
+    EXPECT_EQ(stored.acceptedUnder->rules.attempts, config->queues.at("checks").attempts);
+    EXPECT_EQ(stored.acceptedUnder->rules.service, "moderator");
+}
+
 TEST(Submission, WhatCanNeverRunIsNamed)
 {
     for (const char *text :
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -97,6 +97,15 @@
         owner->start();
     }
 
+    //! A later configuration without the queue \a name comes into force.
+    void dropQueue(const std::string &name)
+    {
+        auto next = std::make_shared<jobs::fleet_config>(*config);
+        ++next->version;
+        next->queues.erase(name);
+        config = next;
+    }
+
     bool isStatus(job_status wanted) const { return owner->statusOf(jobId) == wanted; }
 
     //! Every task must have been started once, with the run 1.
@@ -116,6 +125,13 @@
     return tests::makeJob(jobId, {tests::step(3, 500), second});
 }
 
+//! \a made as a gateway accepts it under \a config.
+jobs::job acceptedUnder(jobs::job made, const jobs::fleet_config &config)
+{
+    made.acceptedUnder = jobs::versionOf(config, config.queues.at(made.queue));
+    return made;
+}
+
 TEST_F(fleet_day, AJobRunsStepByStepAndIsShownAsCompletedOnce)
 {
     takeOffice();
@@ -267,6 +283,47 @@
 
 //! Load pattern: many hundred workers and waiting tasks on a weak host. A plan each 20 ms took most of its
 //! processor, so that answers of workers and orders to them queued behind it.
+//! An accepted job of a queue that a later configuration dropped started nothing more, and a task of it that
+//! was lost never ran again.
+TEST_F(fleet_day, AnAcceptedJobOfADroppedQueueGoesOn)
+{
+    takeOffice();
+    fleet::caller_service service = callers();
+    await(service.submit(acceptedUnder(twoSteps(), *config), kernel::milliseconds(1000)));
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 3; }));
+    dropQueue("checks");
+    workers.endAll(jobs::run_end::done);
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 5; }));
+    workers.endAll(jobs::run_end::done);
+    EXPECT_TRUE(runUntil([this] { return isStatus(job_status::completed); }));
+}
+
+//! The same under an owner that began after the queue was dropped and knows its rules from the job alone.
+TEST_F(fleet_day, AnAcceptedJobOfADroppedQueueGoesOnUnderALaterOwner)
+{
+    fleet::caller_service service = callers();
+    await(service.submit(acceptedUnder(twoSteps(), *config), kernel::milliseconds(1000)));
+    dropQueue("checks");
+    takeOffice();
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 3; }));
+}
+
+//! A job of a dropped queue whose tasks fail too often was never given up.
+TEST_F(fleet_day, AJobOfADroppedQueueIsGivenUpByTheRulesOfItsQueue)
+{
+    takeOffice();
+    fleet::caller_service service = callers();
+    await(service.submit(acceptedUnder(tests::makeJob(jobId, {tests::step(1, 500)}), *config),
+                         kernel::milliseconds(1000)));
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 1; }));
+    dropQueue("checks");
+    for (std::size_t run = 1; run <= config->queues.at("reviews").attempts; ++run) {
+        ASSERT_TRUE(runUntil([this, run] { return workers.starts.size() == run; }));
+        workers.endAll(jobs::run_end::failed);
+    }
+    EXPECT_TRUE(runUntil([this] { return isStatus(job_status::failed); }));
+}
+
 TEST(CommitInterval, PlanningLeavesMostOfTheTimeToLooksAndOrders)
 {
     const fleet::owner_rules rules;
--- a/tests/unit/ledger_test.cpp
+++ b/tests/unit/ledger_test.cpp
@@ -166,10 +166,17 @@
     value.steps[0].image = "i";
     value.steps[0].fills = true;
     value.steps[0].perWorkerLimit = 2;
+    const jobs::fleet_config config = tests::fleetConfig();
+    value.acceptedUnder = jobs::versionOf(config, config.queues.at("checks"));
     const jobs::job back = jobs::decodeJob(jobs::encodeJob(value));
     EXPECT_EQ(back.payload, value.payload);
     EXPECT_EQ(back.steps[0].perWorkerLimit, 2U);
     EXPECT_TRUE(back.steps[0].fills);
+    ASSERT_TRUE(back.acceptedUnder);
+    EXPECT_EQ(back.acceptedUnder->version, config.version);
+    EXPECT_EQ(back.acceptedUnder->rules.name, "checks");
+    EXPECT_EQ(back.acceptedUnder->rules.service, "moderator");
+    EXPECT_EQ(back.acceptedUnder->rules.attempts, 3U);
 }
 
 TEST(JobCodec, TaskNamesComeBackAndOthersAreRefused)
