--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -47,13 +47,14 @@
 
 task<bool> job_owner::load()
 {
-    if (!m_jobs)
-        followJobs();
+    // One after the other: over a slow link pages that are read at the same time come too late.
     store::journal_entries journal = co_await store::readFenced(m_services.store, job_key::journal, 0);
     if (journal.status != store::store_status::ok)
         co_return false;
     const milliseconds journalRead = m_services.clock() - m_since;
     co_await loadPairs();
+    if (!m_jobs)
+        followJobs();
     while (!m_jobs->isListed() && !m_over)
         co_await m_commitSignal.wait(m_services.rules.tickInterval);
     std::size_t skipped = 0;
