--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -48,13 +48,14 @@
 
 task<bool> job_owner::load()
 {
-    if (!m_jobs)
-        followJobs();
+    // One after the other: over a slow link pages that are read at the same time come too late.
     store::journal_entries journal = co_await store::readFenced(m_services.store, job_key::journal, 0);
     if (journal.status != store::store_status::ok)
         co_return false;
     const milliseconds journalRead = m_services.clock() - m_since;
     co_await loadPairs();
+    if (!m_jobs)
+        followJobs();
     while (!m_jobs->isListed() && !m_over)
         co_await m_commitSignal.wait(m_services.rules.tickInterval);
     std::size_t skipped = 0;
@@ -119,7 +120,12 @@
         return;
     }
     try {
-        jobs::addJob(m_book, jobs::decodeJob(json::parse(item.value)));
+        jobs::job accepted = jobs::decodeJob(json::parse(item.value));
+        // Noted once for all jobs of the queue.
+        const auto rules = std::exchange(accepted.acceptedUnder, nullptr);
+        if (rules && jobs::noteAccepted(m_queues, *rules))
+            m_configTaken = nullptr;
+        jobs::addJob(m_book, accepted);
     } catch (const json::exception &error) {
         observe::log(log_level::error, "an accepted job can't be read",
                      {{"key", item.key}, {"error", error.what()}});
@@ -224,13 +230,24 @@
     return touched;
 }
 
+jobs::fleet_config_ptr job_owner::configForJobs()
+{
+    const jobs::fleet_config_ptr present = m_services.config();
+    if (m_configTaken != present) {
+        jobs::refreshKnown(m_queues, *present);
+        m_configForJobs = jobs::withDropped(present, m_queues);
+        m_configTaken = present;
+    }
+    return m_configForJobs;
+}
+
 job_owner::batch job_owner::prepareBatch(time_point now)
 {
     batch next;
     const std::vector<jobs::task_name> touched = takeObserved(next, now);
     for (const auto &[incarnation, worker] : m_workers)
         next.ends[incarnation] = worker->session.endsRead;
-    const jobs::fleet_config_ptr config = m_services.config();
+    const jobs::fleet_config_ptr config = configForJobs();
     for (const std::string &id : jobs::jobsToGiveUp(m_book, *config, touched)) {
         ledger_record record;
         record.kind = jobs::record_kind::gaveUp;
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -194,6 +194,8 @@
     void takeJobKey(const store::stored_item &item);
     void takeCancel(const std::string &id);
     batch prepareBatch(time_point now);
+    //! The configuration in force, with the queues that it has dropped and that have accepted jobs.
+    jobs::fleet_config_ptr configForJobs();
     bool mayStart(time_point now) const;
     std::vector<jobs::candidate> candidates(time_point now) const;
     bool tooManyQuarantined(time_point now) const;
@@ -228,6 +230,10 @@
     //! When the leases that earlier owners have granted are certainly over.
     time_point m_inheritedUntil{};
     jobs::ledger m_book;
+    jobs::known_queues m_queues;
+    //! The configuration that m_configForJobs was made from; null when it must be made anew.
+    jobs::fleet_config_ptr m_configTaken;
+    jobs::fleet_config_ptr m_configForJobs;
     jobs::interference_view m_interference;
     time_point m_modelRefreshedAt{};
     time_point m_pairsSavedAt{};
