Watch the configuration and the workers often enough to start all the time

Cause: an answer confirms what stood when its watch began, so the age of what is watched comes near twice the time of a watch: 4.0 s against 3.5 s for the configuration, 2.0 s against 1.9 s for the workers. Why it works: twice a watch and the time of an answer stay under the bound. Ruled out: a longer bound, which holds back a withdrawn failure domain.

--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -105,9 +105,10 @@
     store::follow_events events;
     events.written = [this](const store::stored_item &item) { takeOperatorKey(item.key, item.value); };
     events.removed = [this](const std::string &key) { takeOperatorKey(key, ""); };
-    m_operatorKeys = std::make_shared<store::prefix_follower>(m_platform.store, kernel::monotonicNow,
-                                                              m_platform.operatorPrefix,
-                                                              store::follow_rules{}, std::move(events));
+    store::follow_rules rules;
+    rules.watchTime = fleet::owner_rules{}.configWatch;
+    m_operatorKeys = std::make_shared<store::prefix_follower>(
+        m_platform.store, kernel::monotonicNow, m_platform.operatorPrefix, rules, std::move(events));
     kernel::spawn(m_context->get_executor(), runFollower(m_operatorKeys));
 }
 
@@ -170,8 +171,7 @@
     events.removed = [owner, idOf](const std::string &key) { owner->takeWorker(idOf(key), std::nullopt); };
     store::follow_rules rules;
     rules.gatherPause = milliseconds(50);
-    // Each answer confirms the list, which must not grow older than an owner may start by.
-    rules.watchTime = milliseconds(1000);
+    rules.watchTime = fleet::owner_rules{}.workersWatch;
     auto follower = std::make_shared<store::prefix_follower>(
         m_platform.store, kernel::monotonicNow, m_platform.workersPrefix, rules, std::move(events));
     kernel::spawn(m_context->get_executor(), runFollower(follower));
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -60,9 +60,15 @@
     milliseconds refusalPause{1000};
     //! A configuration older than this starts nothing: a failure domain may have been withdrawn.
     milliseconds configValidity{3500};
+    //! How long a watch of the configuration waits. An answer confirms what stood when its watch began, so
+    //! the age comes near twice this before the next one; it must stay under configValidity with the time of
+    //! an answer.
+    milliseconds configWatch{1500};
     //! A list of workers older than this starts nothing: a worker may have said that it leaves. Must stay
     //! under the 2 s after which such a worker may get nothing more.
     milliseconds workersValidity{1900};
+    //! The same of the list of workers.
+    milliseconds workersWatch{800};
     //! A reading of a worker's clock older than this is renewed.
     milliseconds clockValidity{15'000};
     std::size_t startsPerCommit = 400;
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -335,6 +335,16 @@
     EXPECT_TRUE(runUntil([this] { return workers.starts.size() == 3; }));
 }
 
+//! Late starts on calm days: the configuration and the list of workers counted as old for the last part of
+//! each watch in which nothing changed, and nothing started then.
+TEST(WatchTimes, WhatIsWatchedDoesNotGrowTooOldToStartByWhileNothingChanges)
+{
+    constexpr kernel::milliseconds answerTime{300};
+    const fleet::owner_rules rules;
+    EXPECT_LE(2 * rules.configWatch + answerTime, rules.configValidity);
+    EXPECT_LE(2 * rules.workersWatch + answerTime, rules.workersValidity);
+}
+
 //! Load pattern: many hundred workers and waiting tasks on a weak host. A plan each 20 ms took most of its
 //! processor, so that answers of workers and orders to them queued behind it.
 //! An accepted job of a queue that a later configuration dropped started nothing more, and a task of it that
