Judge room for lasting tasks by themselves, and leave gangs to the gang

Cause, found by the review of the fixes: a short task that may not use a worker kept free marked its image as without room for lasting tasks of a later priority too; a worker could be kept free for a task whose memory or accelerators fit none; lasting members of a gang could be placed singly. Why it works: the kind of a task tells lasting ones apart, a reservation asks whether the worker could ever hold the task, gangs are placed whole only.

--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -60,7 +60,7 @@
 }
 
 //! What decides where a task may go, but for its size.
-using task_kind = std::tuple<std::string_view, std::string_view, std::string_view, bool>;
+using task_kind = std::tuple<std::string_view, std::string_view, std::string_view, bool, bool>;
 
 //! A round of planning: candidates shrink as tasks are placed.
 struct round_state
@@ -262,6 +262,7 @@
         const std::int64_t serving = load == round.book.loads.end() ? 0 : load->second.servingMillicores;
         const bool couldHold = worker.info.service == step.queue->service
             && worker.info.capacity.millicores - serving >= spec.demand.millicores
+            && fits(spec.demand, worker.info.capacity)
             && (spec.requiredLabel.empty() || hasLabel(worker.info, spec.requiredLabel))
             && (spec.perWorkerLimit == 0 || tasksOfStep(round, worker, firstOf(step)) < spec.perWorkerLimit);
         if (couldHold && !worker.reserved
@@ -275,7 +276,8 @@
 
 task_kind kindOf(const placing &task)
 {
-    return {task.step->queue->service, task.spec->requiredLabel, task.spec->image, task.spec->fills};
+    return {task.step->queue->service, task.spec->requiredLabel, task.spec->image, task.spec->fills,
+            task.spec->lasting};
 }
 
 //! Tells whether a task of the same kind that asks for no more has found no room in this round. Room only
@@ -350,6 +352,12 @@
     }
 }
 
+//! Members of a gang are placed together or not at all.
+bool isEarly(const ready_step &step)
+{
+    return step.lasting && !step.owner->spec.steps[step.step].gang;
+}
+
 //! Serves lasting tasks among \a ready, which has the steps of one priority, before the others. All that ran
 //! before and fit start again: their users miss them, and they only take back as much room as they had. Of
 //! the new ones that have waited long a few do; without this a steady stream of short tasks would keep them
@@ -360,13 +368,13 @@
     const std::size_t few = 1 + round.candidates.size() / workersPerReservation;
     early_budget again{limit - round.records.size(), few};
     for (const ready_step &step : ready) {
-        if (step.lasting)
+        if (isEarly(step))
             placeEarly(round, step, true, again);
     }
     early_budget fresh{std::min(few, again.placements), again.reservations};
     for (const ready_step &step : ready) {
         const milliseconds waited = unixNow - kernel::fromMillis(step.acceptedAtMs);
-        if (step.lasting && waited >= lastingPatience)
+        if (isEarly(step) && waited >= lastingPatience)
             placeEarly(round, step, false, fresh);
     }
 }
