Keep the owner while it hands over

Cause, found by the review of the fixes: a stop of the process while the loop of the election lets go of an owner that has resigned could free it before it has written its last entry. Why it works: the stop holds the owner itself. Before/after: node_test passes as before.

--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -406,9 +406,11 @@
     m_stopping = true;
     m_orderCarrier->stop();
     const kernel::time_point begun = kernel::monotonicNow();
-    if (m_owner) {
+    // The loop of the election may let go of it meanwhile.
+    const std::shared_ptr<fleet::job_owner> owner = m_owner;
+    if (owner) {
         m_ownerServes = false;
-        co_await m_owner->stop();
+        co_await owner->stop();
         co_await fleet::leaveOffice(m_platform.store, *m_term);
     }
     const milliseconds spent = kernel::monotonicNow() - begun;
