Judge failures that an earlier owner has left unjudged

What callers would see: a task that starts once more than its queue allows. Cause, found by the review of the fixes: an owner that stops writes the ends that it has counted, but did not give up the jobs that had failed too often by them, and a successor judged only tasks of new ends. The same gap was there for an owner that was killed between the two.

Why it works: ends are judged where they are applied, also in the last entry, and a new owner judges the failures that it has loaded first.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -1,7 +1,6 @@
 #include "fleet/job_owner.h"
 
 #include "jobs/job_codec.h"
-#include "jobs/pair_memory.h"
 #include "observe/log.h"
 
 #include <algorithm>
@@ -79,40 +78,6 @@
     co_return !m_over;
 }
 
-task<void> job_owner::loadPairs()
-{
-    const store::store_reply reply = co_await m_services.store.get(job_key::pairs);
-    std::size_t taken = 0;
-    if (reply.status == store::store_status::ok)
-        taken = jobs::inheritPairs(m_interference.model, json::parse(reply.value, nullptr, false));
-    observe::log(log_level::info, "learned pairs of images loaded",
-                 {{"pairs", taken}, {"storeStatus", static_cast<int>(reply.status)}});
-}
-
-void job_owner::savePairsIfDue(time_point now)
-{
-    if (now - m_pairsSavedAt < m_services.rules.pairsInterval)
-        return;
-    m_pairsSavedAt = now;
-    std::string pairs = jobs::encodePairs(m_interference.model).dump();
-    if (pairs != m_savedPairs)
-        kernel::spawn(m_context.get_executor(), savePairs(shared_from_this(), std::move(pairs)));
-}
-
-//! A write that fails is made up for by the next one.
-task<void> job_owner::savePairs(self_ptr, std::string pairs)
-{
-    store::conditional_change change;
-    change.expected.push_back({election_key::owner, m_term.ownerRevision});
-    change.puts.push_back({job_key::pairs, pairs, ""});
-    const store::store_reply reply = co_await m_services.store.commit(change);
-    if (reply.status == store::store_status::ok)
-        m_savedPairs = std::move(pairs);
-    else
-        observe::log(log_level::info, "learned pairs of images not saved",
-                     {{"storeStatus", static_cast<int>(reply.status)}});
-}
-
 void job_owner::takeJobKey(const store::stored_item &item)
 {
     if (item.key.starts_with(job_key::cancelled)) {
@@ -166,6 +131,7 @@
         m_workers[incarnation] = ghost;
     }
     takeHandedLeases();
+    judgeInheritedFailures();
     for (const auto &[incarnation, worker] : m_workers)
         drive(worker);
     m_committing = true;
@@ -217,19 +183,6 @@
     m_committing = false;
 }
 
-std::vector<jobs::task_name> job_owner::takeObserved(batch &next, time_point now)
-{
-    std::vector<jobs::task_name> touched;
-    for (ledger_record &record : std::exchange(m_observed, {})) {
-        if (!jobs::apply(m_book, record))
-            continue;
-        noteEnd(record, now);
-        touched.push_back(record.task);
-        next.records.push_back(std::move(record));
-    }
-    return touched;
-}
-
 jobs::fleet_config_ptr job_owner::configForJobs()
 {
     const jobs::fleet_config_ptr present = m_services.config();
@@ -244,18 +197,10 @@
 job_owner::batch job_owner::prepareBatch(time_point now)
 {
     batch next;
-    const std::vector<jobs::task_name> touched = takeObserved(next, now);
+    takeObserved(next, now);
     for (const auto &[incarnation, worker] : m_workers)
         next.ends[incarnation] = worker->session.endsRead;
     const jobs::fleet_config_ptr config = configForJobs();
-    for (const std::string &id : jobs::jobsToGiveUp(m_book, *config, touched)) {
-        ledger_record record;
-        record.kind = jobs::record_kind::gaveUp;
-        record.task.job = id;
-        jobs::apply(m_book, record);
-        next.records.push_back(record);
-        observe::log(log_level::info, "job given up: a task failed too often", {{"job", id}});
-    }
     jobs::openDueOccurrences(m_book, m_services.unixClock());
     if (mayStart(now) && !m_book.withWaiting.empty()) {
         for (ledger_record &record :
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -194,7 +194,8 @@
     kernel::task<bool> appendBatch(const batch &next);
     kernel::task<void> handOver();
     void takeHandedLeases();
-    std::vector<jobs::task_name> takeObserved(batch &next, time_point now);
+    void takeObserved(batch &next, time_point now);
+    void judgeInheritedFailures();
     kernel::task<void> lookOnce(driven_ptr worker);
 
     void takeJobKey(const store::stored_item &item);
@@ -251,6 +252,8 @@
     std::uint64_t m_submission = 0;
     std::set<std::string> m_cancelled;
     std::vector<jobs::ledger_record> m_observed;
+    //! Tasks with failures that an earlier owner may not have judged.
+    std::vector<jobs::task_name> m_toJudge;
     //! Jobs whose newest records are not durable yet.
     std::set<std::string, std::less<>> m_undurable;
     std::map<std::string, driven_ptr> m_workers; // by incarnation
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -49,62 +49,6 @@
         drive(worker);
 }
 
-//! What is known of ends is written, and when the leases of workers that leave orders unanswered are over: a
-//! successor would have to wait as long again, after each change.
-task<void> job_owner::handOver()
-{
-    const time_point now = m_services.clock();
-    batch last;
-    takeObserved(last, now);
-    std::size_t leases = 0;
-    for (const auto &[incarnation, worker] : m_workers) {
-        const jobs::worker_session &session = worker->session;
-        const bool unanswered = session.unansweredSince != time_point{} || session.info.address.empty();
-        if (!unanswered || !m_book.loads.contains(incarnation))
-            continue;
-        ledger_record record;
-        record.kind = jobs::record_kind::leaseHandedOver;
-        record.worker = incarnation;
-        record.term = m_term.term;
-        record.leaseLeft = std::max(milliseconds(0), milliseconds(jobs::leaseEnd(session) - now));
-        last.records.push_back(std::move(record));
-        ++leases;
-    }
-    bool written = true;
-    if (!last.records.empty())
-        written = co_await appendBatch(last);
-    observe::log(log_level::info, "office handed over",
-                 {{"term", m_term.term},
-                  {"ends", last.records.size() - leases},
-                  {"leasesOfSilentWorkers", leases},
-                  {"written", written}});
-}
-
-//! Takes the last word of the owner before this one on the leases of silent workers.
-void job_owner::takeHandedLeases()
-{
-    for (const auto &[incarnation, lease] : m_book.handedLeases) {
-        const auto worker = m_workers.find(incarnation);
-        // An owner in between may have granted more.
-        if (lease.term + 1 != m_term.term || worker == m_workers.end())
-            continue;
-        time_point &until = worker->second->session.inheritedUntil;
-        until = std::min(until, m_since + lease.left);
-    }
-}
-
-void job_owner::noteFormerHoldersOver()
-{
-    const time_point until = jobs::inheritedLeaseEndAfter(m_services.rules.sessions, m_services.clock());
-    m_inheritedUntil = std::min(m_inheritedUntil, until);
-    for (const auto &[incarnation, worker] : m_workers)
-        worker->session.inheritedUntil = std::min(worker->session.inheritedUntil, until);
-    observe::log(log_level::info, "earlier owners renew no lease any more",
-                 {{"term", m_term.term},
-                  {"officeMs", (m_services.clock() - m_since).count()},
-                  {"leasesOverInMs", (m_inheritedUntil - m_services.clock()).count()}});
-}
-
 void job_owner::drive(const driven_ptr &worker)
 {
     if (worker->driving || worker->session.info.address.empty())
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -215,6 +215,34 @@
     EXPECT_EQ(workers.startsBesideARun, 1) << "the lost worker still shows its run";
 }
 
+//! A start beyond the attempts of a queue: an owner that ends between a failure and its judgement left the
+//! task to a successor that looked only at new ends.
+TEST_F(fleet_day, AFailureThatAnEarlierOwnerHasNotJudgedIsJudgedBeforeAnythingStarts)
+{
+    takeOffice();
+    fleet::caller_service service = callers();
+    await(service.submit(tests::makeJob(jobId, {tests::step(1, 500)}), kernel::milliseconds(1000)));
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 1; }));
+    // Nothing starts by an old list of workers, so that the task waits when the office changes.
+    workersAge = kernel::milliseconds(2000);
+    const std::uint64_t before = owner->counters().commits;
+    workers.endAll(jobs::run_end::failed);
+    ASSERT_TRUE(runUntil([this, before] { return owner->counters().commits > before; }));
+    await([](std::shared_ptr<fleet::job_owner> present) -> task<bool> {
+        co_await present->stop();
+        co_return true;
+    }(owner));
+    // With one attempt the failure in the journal is one too many.
+    auto strict = tests::fleetConfig();
+    strict.queues["checks"].attempts = 1;
+    strict.version = 2;
+    config = std::make_shared<const jobs::fleet_config>(strict);
+    workersAge = kernel::milliseconds(0);
+    takeOffice();
+    EXPECT_TRUE(runUntil([this] { return isStatus(job_status::failed) || workers.starts.size() > 1; }));
+    EXPECT_EQ(workers.starts.size(), 1U);
+}
+
 TEST_F(fleet_day, AnEndIsAcknowledgedOnlyOnceItIsInTheJournal)
 {
     takeOffice();
