--- a/src/fleet/owner_election.h
+++ b/src/fleet/owner_election.h
@@ -48,7 +48,7 @@
     std::int64_t termRevision = 0;
     //! Peer addresses of processes that have held the office and may still renew leases at workers, the
     //! newest last.
-    std::vector<std::string> holders;
+    std::vector<std::string> holders{};
     //! When this process learned of the newest term.
     time_point termSeenAt{};
 };
@@ -61,7 +61,7 @@
     std::int64_t ownerRevision = 0;
     std::string lease;
     //! Other processes that may still renew leases at workers, by peer address.
-    std::vector<std::string> formerHolders;
+    std::vector<std::string> formerHolders{};
 };
 
 //! Takes a key of the election into \a view. \a value is empty when the key was removed.
