Keep the pages that were read when the store loses one

A page is asked for again, and the owner and the watcher go on where they stopped, also after an outage.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -28,96 +28,6 @@
 {
 }
 
-void job_owner::watchJobKeys()
-{
-    const auto self = shared_from_this();
-    store::watcher_events events;
-    events.written = [self](const store::stored_item &item) { self->applyJobKey(item); };
-    events.removed = [](const std::string &) {};
-    events.listed = [self] { self->m_commitSignal.wake(); };
-    store::watcher_settings rules;
-    rules.batchDelay = m_dependencies.rules.commitInterval / 2;
-    m_jobKeys = std::make_shared<store::prefix_watcher>(m_dependencies.store, m_dependencies.clock,
-                                                        job_key::prefix, rules, std::move(events));
-    kernel::spawn(m_context.get_executor(), [](std::shared_ptr<store::prefix_watcher> watcher) -> task<void> {
-        co_await watcher->run();
-    }(m_jobKeys));
-}
-
-task<bool> job_owner::load()
-{
-    // Read sequentially: over a slow link, pages that are read in parallel exceed the client's timeout.
-    store::journal_entries journal
-        = co_await store::readJournalEntries(m_dependencies.store, job_key::journal, 0);
-    if (journal.status != store::store_status::ok)
-        co_return false;
-    const milliseconds journalRead = m_dependencies.clock() - m_termStart;
-    co_await loadPairs();
-    if (!m_jobKeys)
-        watchJobKeys();
-    while (!m_jobKeys->isListed() && !m_resigned)
-        co_await m_commitSignal.wait(m_dependencies.rules.tickInterval);
-    std::size_t skipped = 0;
-    for (const store::journal_entry &entry : journal.entries) {
-        for (const json &record : entry.body)
-            skipped += jobs::apply(m_jobTable, jobs::decodeRecord(record)) ? 0 : 1;
-        m_journalIndex = entry.index;
-    }
-    m_loaded = true;
-    if (m_dependencies.metrics)
-        recordLoadTime(*m_dependencies.metrics, m_dependencies.clock() - m_termStart);
-    for (const std::string &id : m_cancelled)
-        jobs::cancelJob(m_jobTable, id);
-    observe::log(log_level::info, "jobs loaded",
-                 {{"term", m_term.term},
-                  {"journalReadMs", journalRead.count()},
-                  {"entries", journal.entries.size()},
-                  {"jobs", m_jobTable.jobs.size()},
-                  {"skippedRecords", skipped},
-                  {"tookMs", (m_dependencies.clock() - m_termStart).count()}});
-    co_return !m_resigned;
-}
-
-void job_owner::applyJobKey(const store::stored_item &item)
-{
-    if (item.key.starts_with(job_key::cancelled)) {
-        applyCancellation(item.key.substr(std::string_view(job_key::cancelled).size()));
-        return;
-    }
-    try {
-        jobs::job accepted = jobs::decodeJob(json::parse(item.value));
-        // Recorded once for all jobs of the queue.
-        const auto rules = std::exchange(accepted.queueAtAcceptance, nullptr);
-        if (rules && jobs::recordAccepted(m_queues, *rules))
-            m_configSource = nullptr;
-        jobs::addJob(m_jobTable, accepted);
-    } catch (const json::exception &error) {
-        observe::log(log_level::error, "failed to decode an accepted job",
-                     {{"key", item.key}, {"error", error.what()}});
-        return;
-    }
-    if (m_loaded)
-        m_commitSignal.wake();
-}
-
-void job_owner::applyCancellation(const std::string &id)
-{
-    if (!m_cancelled.insert(id).second || !m_loaded)
-        return;
-    const bool cancelled = jobs::cancelJob(m_jobTable, id);
-    jobs::takeEndedTimings(m_timings, m_jobTable, id);
-    observe::log(log_level::info, "job cancelled", {{"job", id}, {"wasOpen", cancelled}});
-    for (const auto &[incarnation, load] : m_jobTable.loads) {
-        const auto worker = m_workers.find(incarnation);
-        const auto first = load.runs.lower_bound(jobs::task_name{id, 0, 0, 0});
-        for (auto run = first; run != load.runs.end() && run->first.job == id; ++run) {
-            if (worker != m_workers.end())
-                kernel::spawn(m_context.get_executor(),
-                              stopRun(shared_from_this(), worker->second, run->first, run->second));
-        }
-    }
-}
-
 void job_owner::start()
 {
     // Workers that are no longer listed may still run tasks that an earlier owner started.
@@ -164,6 +74,16 @@
 }
 
 task<void> job_owner::commitLoop(self_ptr)
+{
+    try {
+        co_await commitUntilResigned();
+    } catch (const std::exception &error) {
+        resign(std::string("unexpected error while committing: ") + error.what());
+    }
+    m_commitLoopRunning = false;
+}
+
+task<void> job_owner::commitUntilResigned()
 {
     while (!m_resigned) {
         const time_point startedAt = m_dependencies.clock();
@@ -181,7 +101,6 @@
             co_await kernel::sleepFor(interval - spent);
         co_await m_commitSignal.wait(milliseconds(500));
     }
-    m_commitLoopRunning = false;
 }
 
 jobs::fleet_config_ptr job_owner::effectiveConfig()
@@ -324,6 +243,11 @@
             m_counters.records += next.records.size();
             co_return true;
         }
+        if (result.existing && result.existing->writer.empty() && !m_resigned) {
+            // Another writer left something at this index that no owner reads.
+            ++entry.index;
+            continue;
+        }
         if (result.status == append_status::conflict || m_resigned) {
             resign("the journal has another writer");
             co_return false;
@@ -350,6 +274,15 @@
 }
 
 task<void> job_owner::tickLoop(self_ptr)
+{
+    try {
+        co_await checkUntilResigned();
+    } catch (const std::exception &error) {
+        resign(std::string("unexpected error in the periodic checks: ") + error.what());
+    }
+}
+
+task<void> job_owner::checkUntilResigned()
 {
     while (!m_resigned) {
         const time_point now = m_dependencies.clock();
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -198,7 +198,9 @@
     };
 
     kernel::task<void> commitLoop(self_ptr self);
+    kernel::task<void> commitUntilResigned();
     kernel::task<void> tickLoop(self_ptr self);
+    kernel::task<void> checkUntilResigned();
     kernel::task<void> workerLoop(self_ptr self, managed_worker_ptr worker);
     kernel::task<void> startTask(self_ptr self, managed_worker_ptr worker, jobs::journal_record record);
     kernel::task<void> stopRun(self_ptr self, managed_worker_ptr worker, jobs::task_name task,
@@ -212,6 +214,8 @@
     void collectInheritedFailures();
     kernel::task<void> pollOnce(managed_worker_ptr worker);
 
+    kernel::task<bool> readJournal();
+    std::size_t applyEntry(const store::journal_entry &entry);
     void applyJobKey(const store::stored_item &item);
     void applyCancellation(const std::string &id);
     batch prepareBatch(time_point now);
@@ -265,7 +269,10 @@
     jobs::step_durations m_stepDurations;
     jobs::job_timings m_timings;
     jobs::wait_monitor m_waitMonitor;
+    //! Index of the last journal entry that an owner wrote.
     std::uint64_t m_journalIndex = 0;
+    //! Entries that load() has read so far.
+    std::vector<store::journal_entry> m_unappliedEntries;
     std::uint64_t m_submissionNumber = 0;
     std::set<std::string> m_cancelled;
     std::vector<jobs::journal_record> m_queuedRecords;
--- /dev/null
+++ b/src/fleet/job_owner_load.cpp
@@ -0,0 +1,152 @@
+// The part of job_owner that reads the journal and the accepted jobs.
+
+#include "fleet/job_owner.h"
+
+#include "codec/bounded_json.h"
+#include "jobs/job_check.h"
+#include "jobs/job_codec.h"
+#include "observe/log.h"
+
+namespace almond::fleet {
+
+using kernel::task;
+using observe::log_level;
+
+namespace {
+
+//! Decodes an accepted job that any writer may have stored. Throws std::exception if it is not one that this
+//! system could have accepted.
+jobs::job decodeAcceptedJob(const store::stored_item &item)
+{
+    const std::optional<json> document = codec::parseText(item.value);
+    if (!document)
+        throw std::invalid_argument("not a JSON document");
+    jobs::job accepted = jobs::decodeJob(*document);
+    const settings::findings found = jobs::checkJob(accepted, jobs::job_limits{});
+    if (!found.empty())
+        throw std::invalid_argument(found.front().place + " " + found.front().message);
+    if (item.key != job_key::accepted + accepted.id)
+        throw std::invalid_argument("the key is not that of the job " + accepted.id);
+    return accepted;
+}
+
+} // namespace
+
+void job_owner::watchJobKeys()
+{
+    const auto self = shared_from_this();
+    store::watcher_events events;
+    events.written = [self](const store::stored_item &item) { self->applyJobKey(item); };
+    events.removed = [](const std::string &) {};
+    events.listed = [self] { self->m_commitSignal.wake(); };
+    store::watcher_settings rules;
+    rules.batchDelay = m_dependencies.rules.commitInterval / 2;
+    m_jobKeys = std::make_shared<store::prefix_watcher>(m_dependencies.store, m_dependencies.clock,
+                                                        job_key::prefix, rules, std::move(events));
+    kernel::spawn(m_context.get_executor(), [](std::shared_ptr<store::prefix_watcher> watcher) -> task<void> {
+        co_await watcher->run();
+    }(m_jobKeys));
+}
+
+task<bool> job_owner::load()
+{
+    // Read sequentially: over a slow link, pages that are read in parallel exceed the client's timeout.
+    const bool journalComplete = co_await readJournal();
+    if (!journalComplete)
+        co_return false;
+    const milliseconds journalRead = m_dependencies.clock() - m_termStart;
+    co_await loadPairs();
+    if (!m_jobKeys)
+        watchJobKeys();
+    while (!m_jobKeys->isListed() && !m_resigned)
+        co_await m_commitSignal.wait(m_dependencies.rules.tickInterval);
+    const std::vector<store::journal_entry> entries = std::exchange(m_unappliedEntries, {});
+    std::size_t skipped = 0;
+    for (const store::journal_entry &entry : entries)
+        skipped += applyEntry(entry);
+    m_loaded = true;
+    if (m_dependencies.metrics)
+        recordLoadTime(*m_dependencies.metrics, m_dependencies.clock() - m_termStart);
+    for (const std::string &id : m_cancelled)
+        jobs::cancelJob(m_jobTable, id);
+    observe::log(log_level::info, "jobs loaded",
+                 {{"term", m_term.term},
+                  {"journalReadMs", journalRead.count()},
+                  {"entries", entries.size()},
+                  {"jobs", m_jobTable.jobs.size()},
+                  {"skippedRecords", skipped},
+                  {"tookMs", (m_dependencies.clock() - m_termStart).count()}});
+    co_return !m_resigned;
+}
+
+//! Reads the part of the journal that was not read before: pages read before a store outage are kept.
+task<bool> job_owner::readJournal()
+{
+    store::journal_entries part
+        = co_await store::readJournalEntries(m_dependencies.store, job_key::journal, m_journalIndex);
+    for (store::journal_entry &entry : part.entries) {
+        // Only an entry of this system counts: the next one is written behind it.
+        if (!entry.writer.empty())
+            m_journalIndex = entry.index;
+        m_unappliedEntries.push_back(std::move(entry));
+    }
+    co_return part.status == store::store_status::ok;
+}
+
+//! Applies the records of \a entry to the job table and returns how many of them had no effect.
+std::size_t job_owner::applyEntry(const store::journal_entry &entry)
+{
+    std::size_t skipped = 0;
+    for (const json &record : entry.body) {
+        try {
+            skipped += jobs::apply(m_jobTable, jobs::decodeRecord(record)) ? 0 : 1;
+        } catch (const std::exception &error) {
+            ++skipped;
+            observe::logLimited(log_level::error, "malformed record in the journal ignored",
+                                {{"index", entry.index}, {"error", error.what()}}, m_dependencies.clock());
+        }
+    }
+    return skipped;
+}
+
+void job_owner::applyJobKey(const store::stored_item &item)
+{
+    if (item.key.starts_with(job_key::cancelled)) {
+        applyCancellation(item.key.substr(std::string_view(job_key::cancelled).size()));
+        return;
+    }
+    try {
+        jobs::job accepted = decodeAcceptedJob(item);
+        // Recorded once for all jobs of the queue.
+        const auto rules = std::exchange(accepted.queueAtAcceptance, nullptr);
+        if (rules && jobs::recordAccepted(m_queues, *rules))
+            m_configSource = nullptr;
+        jobs::addJob(m_jobTable, accepted);
+    } catch (const std::exception &error) {
+        observe::logLimited(log_level::error, "failed to decode an accepted job",
+                            {{"key", item.key}, {"error", error.what()}}, m_dependencies.clock());
+        return;
+    }
+    if (m_loaded)
+        m_commitSignal.wake();
+}
+
+void job_owner::applyCancellation(const std::string &id)
+{
+    if (!m_cancelled.insert(id).second || !m_loaded)
+        return;
+    const bool cancelled = jobs::cancelJob(m_jobTable, id);
+    jobs::takeEndedTimings(m_timings, m_jobTable, id);
+    observe::log(log_level::info, "job cancelled", {{"job", id}, {"wasOpen", cancelled}});
+    for (const auto &[incarnation, load] : m_jobTable.loads) {
+        const auto worker = m_workers.find(incarnation);
+        const auto first = load.runs.lower_bound(jobs::task_name{id, 0, 0, 0});
+        for (auto run = first; run != load.runs.end() && run->first.job == id; ++run) {
+            if (worker != m_workers.end())
+                kernel::spawn(m_context.get_executor(),
+                              stopRun(shared_from_this(), worker->second, run->first, run->second));
+        }
+    }
+}
+
+} // namespace almond::fleet
--- a/src/kernel/task.h
+++ b/src/kernel/task.h
@@ -12,6 +12,8 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <exception>
+#include <functional>
+#include <string>
 #include <utility>
 
 namespace almond::kernel {
@@ -28,13 +30,19 @@
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
 }
 
-//! Starts \a work concurrently with the caller. An exception that escapes from it is a defect and ends the
-//! process.
+//! Sets what handles an exception that escapes from a spawned task; its argument is the text of the
+//! exception. Without a handler the exception ends the process.
+void setTaskFailureHandler(std::function<void(const std::string &error)> handler);
+
+//! Passes \a failure to the handler for task failures.
+void reportTaskFailure(const std::exception_ptr &failure);
+
+//! Starts \a work concurrently with the caller. An exception that escapes from it ends this task only.
 inline void spawn(const boost::asio::any_io_executor &executor, task<void> work)
 {
     boost::asio::co_spawn(executor, std::move(work), [](const std::exception_ptr &failure) {
         if (failure)
-            std::rethrow_exception(failure);
+            reportTaskFailure(failure);
     });
 }
 
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -1,6 +1,6 @@
 #include "observe/log.h"
 
-#include "kernel/time.h"
+#include "kernel/task.h"
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <iostream>
+#include <map>
 
 namespace almond::observe {
 
@@ -35,6 +36,10 @@
 
 void startLog(std::string_view process, log_level minimum)
 {
+    kernel::setTaskFailureHandler([](const std::string &error) {
+        logLimited(log_level::error, "a task ended with an unexpected error", {{"error", error}},
+                   kernel::monotonicNow());
+    });
     processName() = process;
     minimumLevel() = minimum;
     logging::add_console_log(std::cout, logging::keywords::format = "%Message%",
@@ -70,4 +75,31 @@
     BOOST_LOG_SEV(logger, level) << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+void logLimited(log_level level, std::string_view message, nlohmann::json fields, kernel::time_point now)
+{
+    struct line_count
+    {
+        kernel::time_point since{};
+        int written = 0;
+        std::uint64_t leftOut = 0;
+    };
+    static std::map<std::string, line_count, std::less<>> counts;
+    auto found = counts.find(message);
+    if (found == counts.end())
+        found = counts.emplace(message, line_count{now, 0, 0}).first;
+    line_count &count = found->second;
+    if (now - count.since >= kernel::milliseconds(1000)) {
+        count.since = now;
+        count.written = 0;
+    }
+    if (count.written >= limitedLinesPerSecond) {
+        ++count.leftOut;
+        return;
+    }
+    ++count.written;
+    if (count.leftOut > 0)
+        fields["leftOut"] = std::exchange(count.leftOut, 0);
+    log(level, message, fields);
+}
+
 } // namespace almond::observe
--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "kernel/time.h"
+
 #include <nlohmann/json.hpp>
 
 #include <string>
@@ -23,4 +25,11 @@
 //! Writes one log line with the members time, level, process, message and all members of \a fields.
 void log(log_level level, std::string_view message, const nlohmann::json &fields = nlohmann::json::object());
 
+//! The same for a message that outside input can cause at any rate: writes at most limitedLinesPerSecond
+//! lines with one message in a second, and adds "leftOut", the number of lines since the last one that were
+//! not written.
+void logLimited(log_level level, std::string_view message, nlohmann::json fields, kernel::time_point now);
+
+inline constexpr int limitedLinesPerSecond = 5;
+
 } // namespace almond::observe
--- a/src/store/fenced_journal.cpp
+++ b/src/store/fenced_journal.cpp
@@ -1,5 +1,6 @@
 #include "store/fenced_journal.h"
 
+#include "observe/log.h"
 #include "store/journal_codec.h"
 
 namespace almond::store {
@@ -15,7 +16,7 @@
     const store_reply existing = co_await store.get(key);
     if (existing.status != store_status::ok)
         co_return result;
-    result.existing = decodeEntry(entry.index, existing.value);
+    result.existing = decodeEntryOrEmpty(entry.index, existing.value);
     const bool own = result.existing->submission == entry.submission;
     result.status = own ? append_status::committed : append_status::conflict;
     co_return result;
@@ -56,19 +57,31 @@
     co_return result;
 }
 
-task<journal_entries> readJournalEntries(const store_api &store, std::string name, std::uint64_t after)
+task<journal_entries> readJournalEntries(const store_api &store, std::string name, std::uint64_t after,
+                                         append_limits limits)
 {
     journal_entries result;
     std::string last = entryKey(name, after);
+    int failures = 0;
     bool more = true;
     while (more) {
         const page_reply page = co_await store.page(entryPrefix(name), last);
         result.status = page.status;
-        if (page.status != store_status::ok)
-            co_return result;
+        if (page.status != store_status::ok) {
+            if (++failures >= limits.attempts)
+                co_return result;
+            co_await kernel::sleepFor(limits.retryDelay);
+            continue;
+        }
+        failures = 0;
         for (const stored_item &item : page.items) {
-            result.entries.push_back(decodeEntry(indexOfKey(item.key), item.value));
             last = item.key;
+            const std::optional<std::uint64_t> index = indexOfKey(item.key);
+            if (index)
+                result.entries.push_back(decodeEntryOrEmpty(*index, item.value));
+            else
+                observe::logLimited(observe::log_level::error, "odd key in a journal ignored",
+                                    {{"key", item.key}}, kernel::monotonicNow());
         }
         more = page.more && !page.items.empty();
     }
--- a/src/store/fenced_journal.h
+++ b/src/store/fenced_journal.h
@@ -19,15 +19,20 @@
 kernel::task<append_result> appendFenced(const store_api &store, std::string name, journal_entry entry,
                                          journal_fence fence, append_limits limits);
 
-//! The entries of a journal after some index.
+//! Attempts to read one page of a journal.
+inline constexpr append_limits pageLimits{5, kernel::milliseconds(50)};
+
+//! The entries of a journal after some index. If the status is not ok, the entries that were read before the
+//! store stopped responding; reading can go on after the last of them.
 struct journal_entries
 {
     store_status status = store_status::unavailable;
     std::vector<journal_entry> entries;
 };
 
-//! Reads all entries of the journal \a name with an index greater than \a after, page by page.
+//! Reads all entries of the journal \a name with an index greater than \a after, page by page. A page without
+//! a response is asked for again within \a limits. An entry that can't be decoded has no writer.
 kernel::task<journal_entries> readJournalEntries(const store_api &store, std::string name,
-                                                 std::uint64_t after);
+                                                 std::uint64_t after, append_limits limits = pageLimits);
 
 } // namespace almond::store
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -1,5 +1,7 @@
 #include "store/journal.h"
 
+#include "codec/bounded_json.h"
+#include "observe/log.h"
 #include "store/journal_codec.h"
 
 #include <algorithm>
@@ -44,11 +46,20 @@
     std::int64_t revision = 0;
 };
 
-void decodeHead(const std::string &value, journal_head &head)
+//! Returns false, without a change of \a head, if \a value is not an encoded head.
+bool decodeHead(const std::string &value, journal_head &head)
 {
-    const json parsed = json::parse(value);
-    head.snapshotIndex = parsed.at("index");
-    head.parts = parsed.at("parts");
+    const std::optional<json> parsed = codec::parseText(value);
+    const bool whole = parsed && parsed->is_object() && parsed->value("index", json()).is_number_unsigned()
+        && parsed->value("parts", json()).is_number_unsigned();
+    if (!whole) {
+        observe::logLimited(observe::log_level::error, "head of a journal can't be read",
+                            {{"bytes", value.size()}}, kernel::monotonicNow());
+        return false;
+    }
+    head.snapshotIndex = (*parsed)["index"];
+    head.parts = (*parsed)["parts"];
+    return true;
 }
 
 task<journal_head> readHead(const store_api &store, const std::string &name)
@@ -57,8 +68,9 @@
     journal_head head;
     head.status = reply.status;
     head.revision = reply.revision;
-    if (reply.status == store_status::ok)
-        decodeHead(reply.value, head);
+    // Without its head the journal can't be read; the caller tries again.
+    if (reply.status == store_status::ok && !decodeHead(reply.value, head))
+        head.status = store_status::unavailable;
     co_return head;
 }
 
@@ -78,7 +90,7 @@
     const store_reply reply = co_await store.get(entryKey(name, entry.index));
     if (reply.status != store_status::ok)
         co_return append_result{append_status::unknown, std::nullopt};
-    journal_entry existing = decodeEntry(entry.index, reply.value);
+    journal_entry existing = decodeEntryOrEmpty(entry.index, reply.value);
     if (existing.submission != entry.submission)
         co_return append_result{append_status::conflict, std::move(existing)};
     co_return co_await confirmAboveSnapshot(store, name, entry.index);
@@ -163,14 +175,17 @@
     for (const stored_item &item : reply.items) {
         if (item.key == headKey(name)) {
             journal_head head;
-            decodeHead(item.value, head);
-            tail.snapshotIndex = head.snapshotIndex;
-        } else if (indexOfKey(item.key) == expected) {
-            tail.entries.push_back(decodeEntry(expected, item.value));
+            if (decodeHead(item.value, head))
+                tail.snapshotIndex = head.snapshotIndex;
+            continue;
+        }
+        const std::optional<std::uint64_t> index = indexOfKey(item.key);
+        if (index == expected) {
+            tail.entries.push_back(decodeEntryOrEmpty(expected, item.value));
             ++expected;
-        } else if (tail.entries.empty() && tail.snapshotIndex == 0) {
+        } else if (index && tail.entries.empty() && tail.snapshotIndex == 0) {
             // Entries are removed only once a snapshot covers them.
-            tail.snapshotIndex = indexOfKey(item.key) - 1;
+            tail.snapshotIndex = *index - 1;
         }
     }
     co_return tail;
@@ -188,7 +203,14 @@
         contents.status = text.status == store_status::ok ? store_status::ok : store_status::unavailable;
         if (text.status != store_status::ok)
             co_return contents;
-        contents.snapshot = json::parse(text.value);
+        std::optional<json> snapshot = codec::parseText(text.value);
+        if (!snapshot) {
+            contents.status = store_status::unavailable;
+            observe::logLimited(observe::log_level::error, "snapshot of a journal can't be read",
+                                {{"journal", name}, {"index", head.snapshotIndex}}, kernel::monotonicNow());
+            co_return contents;
+        }
+        contents.snapshot = std::move(*snapshot);
         contents.snapshotIndex = head.snapshotIndex;
     }
     std::uint64_t next = contents.snapshotIndex + 1;
--- a/src/store/journal_codec.h
+++ b/src/store/journal_codec.h
@@ -2,22 +2,20 @@
 
 #include "store/journal.h"
 
+#include <optional>
 #include <string>
 
 namespace almond::store {
 
 //! Encodes \a entry as a value for the store.
-inline std::string encodeEntry(const journal_entry &entry)
-{
-    return json{{"writer", entry.writer}, {"submission", entry.submission}, {"body", entry.body}}.dump();
-}
+std::string encodeEntry(const journal_entry &entry);
 
-//! Inverse of encodeEntry(). Throws nlohmann::json::exception if \a value is not an encoded entry.
-inline journal_entry decodeEntry(std::uint64_t index, const std::string &value)
-{
-    const json parsed = json::parse(value);
-    return {index, parsed.at("writer"), parsed.at("submission"), parsed.at("body")};
-}
+//! Inverse of encodeEntry(). Empty if \a value is not an encoded entry.
+std::optional<journal_entry> decodeEntry(std::uint64_t index, const std::string &value);
+
+//! The same, but an entry that can't be decoded has neither writer nor records. It was not written by a
+//! process of this system, and must not keep the entries after it from being read.
+journal_entry decodeEntryOrEmpty(std::uint64_t index, const std::string &value);
 
 //! Returns the common prefix of the keys of all entries of the journal \a name.
 inline std::string entryPrefix(const std::string &name)
@@ -25,10 +23,7 @@
     return name + "/entry/";
 }
 
-//! Returns the index of the entry with \a key.
-inline std::uint64_t indexOfKey(const std::string &key)
-{
-    return std::stoull(key.substr(key.rfind('/') + 1));
-}
+//! Returns the index of the entry with \a key; empty if \a key does not end with an index.
+std::optional<std::uint64_t> indexOfKey(std::string_view key);
 
 } // namespace almond::store
--- a/src/store/prefix_watcher.cpp
+++ b/src/store/prefix_watcher.cpp
@@ -44,35 +44,47 @@
 
 task<bool> prefix_watcher::list()
 {
-    const kernel::time_point startedAt = m_clock();
-    std::set<std::string> listedKeys;
-    std::int64_t revision = 0;
-    std::string after;
+    if (!m_listing)
+        m_listing = listing_progress{m_clock(), {}, 0, {}};
     bool more = true;
     while (more) {
-        page_reply page = co_await m_store.page(m_prefix, after);
+        page_reply page = co_await m_store.page(m_prefix, m_listing->lastKey);
+        // The pages read so far are kept for the next attempt. A listing that takes longer than the store
+        // keeps its history begins anew after the first watch.
         if (page.status != store_status::ok)
             co_return false;
         // The watch starts at the revision of the first page, so that it repeats all changes made during
         // listing.
-        if (revision == 0)
-            revision = page.revision;
+        if (m_listing->revision == 0)
+            m_listing->revision = page.revision;
         for (const stored_item &item : page.items) {
-            listedKeys.insert(item.key);
-            m_events.written(item);
-            after = item.key;
+            m_listing->keys.insert(item.key);
+            reportWritten(item);
+            m_listing->lastKey = item.key;
         }
         more = page.more && !page.items.empty();
     }
-    reportMissingAsRemoved(listedKeys);
-    m_revision = revision;
-    m_confirmedAt = startedAt;
+    const listing_progress listing = *std::exchange(m_listing, std::nullopt);
+    reportMissingAsRemoved(listing.keys);
+    m_revision = listing.revision;
+    m_confirmedAt = listing.startedAt;
     m_listed = true;
     if (m_events.listed)
         m_events.listed();
     co_return true;
 }
 
+//! One item that the receiver can't handle must not keep the others from it.
+void prefix_watcher::reportWritten(const stored_item &item)
+{
+    try {
+        m_events.written(item);
+    } catch (const std::exception &error) {
+        observe::logLimited(observe::log_level::error, "unexpected error in handling a key",
+                            {{"key", item.key}, {"error", error.what()}}, m_clock());
+    }
+}
+
 void prefix_watcher::reportMissingAsRemoved(const std::set<std::string> &listedKeys)
 {
     for (const std::string &key : m_known) {
@@ -101,7 +113,7 @@
             m_events.removed(change.item.key);
         } else {
             m_known.insert(change.item.key);
-            m_events.written(change.item);
+            reportWritten(change.item);
         }
     }
     const bool changed = !reply.changes.empty();
--- a/src/store/prefix_watcher.h
+++ b/src/store/prefix_watcher.h
@@ -3,6 +3,7 @@
 #include "store/store_api.h"
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -52,8 +53,19 @@
     kernel::time_point confirmedAt() const { return m_confirmedAt; }
 
 private:
+    //! What has been listed so far.
+    struct listing_progress
+    {
+        kernel::time_point startedAt{};
+        std::set<std::string> keys;
+        //! Revision of the first page; 0 before it was read.
+        std::int64_t revision = 0;
+        std::string lastKey;
+    };
+
     kernel::task<bool> list();
     kernel::task<bool> watchOnce();
+    void reportWritten(const stored_item &item);
     void reportMissingAsRemoved(const std::set<std::string> &listedKeys);
 
     store_api m_store;
@@ -62,6 +74,8 @@
     watcher_settings m_settings;
     watcher_events m_events;
     std::set<std::string> m_known;
+    //! Set while a listing is not complete.
+    std::optional<listing_progress> m_listing;
     std::int64_t m_revision = 0;
     bool m_listed = false;
     //! Consecutive calls without a response.
