Bear odd input at every edge of almond-node

Cause: values were read without a check of type, range or depth, and an exception in any task ended the process: a peer's method as a number, a call as text, members of the store's responses that are missing or of another type, odd keys and jobs of another writer (a step of four billion tasks, steps that depend on later ones, deep nesting), a port over 65535 that was cut to 16 bits. Each kind of input now has one bounded reader (src/codec), a bad item is left out with a rate-limited log line, and an exception ends its task only; the loops of the owner resign or try again. Tests: odd_input_test and odd_entries_test; owner_load has serving tasks and relays, to see where the owner's time goes.

--- a/apps/ctl/dump_command.cpp
+++ b/apps/ctl/dump_command.cpp
@@ -1,5 +1,6 @@
 #include "apps/command_line.h"
 #include "apps/ctl/control_session.h"
+#include "http/address.h"
 
 #include <iostream>
 
@@ -17,7 +18,7 @@
 task<int> runDumpCommand(control_session &session)
 {
     const std::string address = session.word(1);
-    if (!settings::isAddress(address))
+    if (!http::isPeerAddress(address))
         co_return fail(session, exit_status::badInput,
                        "dump: requires the operator address of a process as IP:PORT");
     http::request message(http::verb::get, "/dump", 11);
--- a/bench/owner_load.cpp
+++ b/bench/owner_load.cpp
@@ -1,5 +1,7 @@
 #include "fleet/job_owner.h"
 #include "jobs/job_codec.h"
+#include "relay/order_dispatcher.h"
+#include "relay/order_relay.h"
 #include "tests/fakes/shared_store.h"
 #include "tests/unit/job_fixtures.h"
 
@@ -8,14 +10,31 @@
 #include <iostream>
 
 //! Processor time that one owner takes for a fleet under a steady load, with the store and the workers in
-//! memory. Usage: owner_load WORKERS JOBS_PER_SECOND SECONDS.
+//! memory: serving tasks that fill most of the fleet, short wide jobs, and best-effort jobs that start beside
+//! the serving tasks. Usage: owner_load WORKERS JOBS_PER_SECOND SECONDS [SERVING_JOBS [RELAYS]]. With RELAYS,
+//! orders go over loopback connections through that many relays, which run in the same process.
 namespace {
 
 using namespace almond;
 using kernel::task;
 
-constexpr std::uint32_t tasksPerJob = 26;
-constexpr kernel::milliseconds runTime{1700};
+constexpr std::uint32_t tasksPerShortJob = 10;
+constexpr std::uint32_t tasksPerBestEffortJob = 42;
+constexpr std::uint32_t tasksPerServingJob = 24;
+constexpr kernel::milliseconds shortRunTime{640};
+constexpr kernel::milliseconds bestEffortRunTime{2700};
+constexpr kernel::milliseconds servingRunTime{3'600'000};
+constexpr kernel::milliseconds tailLatencyTarget{100};
+//! Ids of the jobs begin with the digit of their kind.
+constexpr char servingDigit = '1';
+constexpr char shortDigit = '2';
+
+kernel::milliseconds runTimeOf(const jobs::task_name &task)
+{
+    if (task.job.front() == servingDigit)
+        return servingRunTime;
+    return task.job.front() == shortDigit ? shortRunTime : bestEffortRunTime;
+}
 
 //! Workers whose runs end by themselves after a while.
 struct steady_fleet
@@ -33,6 +52,7 @@
         std::uint64_t nextEnd = 1;
     };
     std::map<std::string, state> workers;
+    std::int64_t measurements = 0;
 
     static jobs::order_response accepted()
     {
@@ -58,8 +78,11 @@
         jobs::poll_response answer;
         answer.result = accepted();
         answer.bornMs = 1;
-        for (const run &one : worker.running)
-            answer.running.push_back({one.task, one.number, "", 50, 6000});
+        for (const run &one : worker.running) {
+            const bool serving = one.task.job.front() == servingDigit;
+            const std::int64_t noise = ++measurements % 17;
+            answer.running.push_back({one.task, one.number, "", 100, serving ? 30 + noise : 3400 + noise});
+        }
         answer.ended = worker.ended;
         return answer;
     }
@@ -71,7 +94,7 @@
             = [this](jobs::order_target target, jobs::start_order order) -> task<jobs::order_response> {
             co_await kernel::sleepFor(kernel::milliseconds(2));
             workers[target.workerId].running.push_back(
-                {order.task, order.run, kernel::monotonicNow() + runTime});
+                {order.task, order.run, kernel::monotonicNow() + runTimeOf(order.task)});
             co_return accepted();
         };
         port.stop = [](jobs::order_target, jobs::task_name, std::uint32_t) -> task<jobs::order_response> {
@@ -94,6 +117,57 @@
     }
 };
 
+constexpr int firstPort = 23'940;
+
+std::string addressOf(int host)
+{
+    return "127.0.0.1:" + std::to_string(firstPort + host);
+}
+
+//! Hosts that relay the owner's orders to the workers.
+struct relay_hosts
+{
+    struct host
+    {
+        std::unique_ptr<wire::peer_link> peers;
+        std::unique_ptr<relay::order_relay> relay;
+    };
+    wire::peer_link ownerPeers;
+    std::unique_ptr<relay::order_dispatcher> dispatcher;
+    std::vector<host> hosts;
+
+    relay_hosts(boost::asio::io_context &context, jobs::worker_api workers, int relays, int workerCount)
+        : ownerPeers(context)
+    {
+        relay::order_dispatcher_dependencies owner;
+        owner.context = &context;
+        owner.peers = &ownerPeers;
+        owner.ownAddress = addressOf(0);
+        owner.processorShare = 0.0;
+        owner.direct = workers;
+        owner.clock = kernel::monotonicNow;
+        owner.workerCount = [workerCount] { return static_cast<std::size_t>(workerCount); };
+        dispatcher = std::make_unique<relay::order_dispatcher>(std::move(owner));
+        dispatcher->provideCalls();
+        ownerPeers.listen(addressOf(0));
+        for (int number = 1; number <= relays; ++number) {
+            host added{std::make_unique<wire::peer_link>(context), nullptr};
+            relay::order_relay_dependencies dependencies;
+            dependencies.context = &context;
+            dependencies.peers = added.peers.get();
+            dependencies.ownAddress = addressOf(number);
+            dependencies.processorShare = 0.5;
+            dependencies.workers = workers;
+            dependencies.owner = [] { return addressOf(0); };
+            added.relay = std::make_unique<relay::order_relay>(std::move(dependencies));
+            added.relay->provideCalls();
+            added.peers->listen(addressOf(number));
+            kernel::spawn(context.get_executor(), added.relay->run());
+            hosts.push_back(std::move(added));
+        }
+    }
+};
+
 struct load_run
 {
     boost::asio::io_context context;
@@ -101,35 +175,63 @@
     steady_fleet fleet;
     jobs::fleet_config_ptr config = std::make_shared<const jobs::fleet_config>(tests::fleetConfig());
     std::shared_ptr<fleet::job_owner> owner;
+    std::int64_t submitted = 0;
+
+    void accept(char kind, jobs::step_spec step)
+    {
+        std::string digits = std::to_string(++submitted);
+        const std::string id = kind + std::string(15 - digits.size(), '0') + digits;
+        jobs::job made = tests::makeJob(id, {std::move(step)}, kind == '3' ? "reviews" : "checks");
+        made.payload = std::string(600, 'x');
+        made.acceptedAtMs = kernel::toMillis(kernel::systemNow());
+        store.put(std::string(fleet::job_key::accepted) + id, jobs::encodeJob(made).dump());
+    }
+
+    void acceptServing(int number)
+    {
+        jobs::step_spec step = tests::step(tasksPerServingJob, 6400, 13'000);
+        step.longRunning = true;
+        step.tailLatencyTarget = tailLatencyTarget;
+        step.image = "serving-" + std::to_string(number % 16);
+        accept(servingDigit, std::move(step));
+    }
 
-    task<void> submit(int perSecond, int seconds)
+    void acceptShort()
     {
-        std::int64_t number = 0;
+        jobs::step_spec step = tests::step(tasksPerShortJob, 6000, 20'000);
+        step.declaredDuration = shortRunTime;
+        accept(shortDigit, std::move(step));
+    }
+
+    void acceptBestEffort()
+    {
+        jobs::step_spec step = tests::step(tasksPerBestEffortJob, 3500, 6400);
+        step.bestEffort = true;
+        step.image = "best-effort-" + std::to_string(submitted % 30);
+        step.declaredDuration = bestEffortRunTime;
+        accept('3', std::move(step));
+    }
+
+    task<void> submit(int perSecond, int seconds, int servingJobs)
+    {
+        for (int number = 0; number < servingJobs; ++number)
+            acceptServing(number);
         for (int round = 0; round < seconds * 10; ++round) {
-            for (int one = 0; one < perSecond / 10; ++one) {
-                const std::string digits = std::to_string(++number);
-                const std::string id = std::string(16 - digits.size(), '0') + digits;
-                jobs::step_spec step = tests::step(tasksPerJob, 7000, 8000);
-                step.bestEffort = number % 2 == 0;
-                step.image = "image-" + std::to_string(number % 9);
-                step.declaredDuration = runTime;
-                jobs::job made = tests::makeJob(id, {step}, step.bestEffort ? "reviews" : "checks");
-                made.payload = std::string(600, 'x');
-                made.acceptedAtMs = kernel::toMillis(kernel::systemNow());
-                store.put(std::string(fleet::job_key::accepted) + id, jobs::encodeJob(made).dump());
-            }
+            for (int one = 0; one < perSecond / 10; ++one)
+                submitted % 2 == 0 ? acceptShort() : acceptBestEffort();
             co_await kernel::sleepFor(kernel::milliseconds(100));
         }
+        std::cout << owner->describeCapacity().dump() << "\n";
         owner->resign("the run is over");
     }
 
-    task<void> work(int perSecond, int seconds)
+    task<void> work(int perSecond, int seconds, int servingJobs)
     {
         const bool loaded = co_await owner->load();
         if (!loaded)
             co_return;
         owner->start();
-        co_await submit(perSecond, seconds);
+        co_await submit(perSecond, seconds, servingJobs);
     }
 };
 
@@ -140,11 +242,14 @@
     const int workers = argc > 1 ? std::atoi(argv[1]) : 350;
     const int perSecond = argc > 2 ? std::atoi(argv[2]) : 40;
     const int seconds = argc > 3 ? std::atoi(argv[3]) : 10;
+    const int servingJobs = argc > 4 ? std::atoi(argv[4]) : workers / 5;
+    const int relays = argc > 5 ? std::atoi(argv[5]) : 0;
     load_run run;
+    relay_hosts hosts(run.context, run.fleet.port(), relays, workers);
     fleet::job_owner_dependencies services;
     services.processId = "load";
     services.store = run.store.api();
-    services.workers = run.fleet.port();
+    services.workers = relays > 0 ? hosts.dispatcher->port() : run.fleet.port();
     services.clock = kernel::monotonicNow;
     services.unixClock = kernel::systemNow;
     services.config = [&run] { return run.config; };
@@ -156,11 +261,12 @@
         run.context, std::move(services),
         fleet::won_term{1, run.store.revisionOf(fleet::election_key::owner), ""});
     for (int number = 0; number < workers; ++number) {
-        jobs::worker_info info = tests::worker("worker-" + std::to_string(number), 64'000);
-        info.capacity.memoryMb = 256'000;
+        jobs::worker_info info
+            = tests::worker("worker-" + std::to_string(number), number % 3 == 2 ? 48'000 : 32'000);
+        info.capacity.memoryMb = 128'000;
         run.owner->updateWorker(info.id, info);
     }
-    kernel::spawn(run.context.get_executor(), run.work(perSecond, seconds));
+    kernel::spawn(run.context.get_executor(), run.work(perSecond, seconds, servingJobs));
     run.context.run_for(std::chrono::seconds(seconds + 1));
     const fleet::owner_counters &counted = run.owner->counters();
     std::cout << "workers " << workers << ", starts " << counted.starts << ", looks " << counted.polls
--- a/src/config/config_journal.cpp
+++ b/src/config/config_journal.cpp
@@ -1,5 +1,7 @@
 #include "config/config_journal.h"
 
+#include "codec/bounded_json.h"
+
 namespace almond::config {
 
 using kernel::task;
@@ -30,15 +32,20 @@
 
 config_change changeFromEntry(const journal_entry &entry)
 {
-    return {entry.index, entry.writer, kernel::fromMillis(entry.body.at("submittedAt")),
-            entry.body.at("patch")};
+    if (!entry.body.is_object() || !entry.body.contains("patch"))
+        return {entry.index, entry.writer, kernel::time_point{}, json::object()};
+    return {entry.index, entry.writer,
+            kernel::fromMillis(codec::integerMember(entry.body, "submittedAt", std::int64_t{0})),
+            entry.body["patch"]};
 }
 
 config_view applyEntry(const config_view &view, const journal_entry &entry)
 {
     config_view next = view;
     next.version = entry.index;
-    next.document.merge_patch(entry.body.at("patch"));
+    // An entry that can't be read is a version without a change, for every process alike.
+    if (entry.body.is_object() && entry.body.contains("patch"))
+        next.document.merge_patch(entry.body["patch"]);
     settings::findings ignored;
     next.parsed = readDocument(next.document, ignored);
     return next;
--- a/src/config/config_journal.h
+++ b/src/config/config_journal.h
@@ -37,7 +37,7 @@
 //! Returns \a view with \a entry, the next version, applied.
 config_view applyEntry(const config_view &view, const store::journal_entry &entry);
 
-//! Decodes the change that \a entry records. Throws nlohmann::json::exception if a field is missing.
+//! Decodes the change that \a entry records. An entry that can't be read has an empty patch.
 config_change changeFromEntry(const store::journal_entry &entry);
 
 //! Returns the newest view, from a snapshot and the entries after it.
--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -171,7 +171,13 @@
     store::watcher_events events;
     events.written = [this, owner, idOf](const store::stored_item &item) {
         const std::string id = idOf(item.key);
-        owner->updateWorker(id, m_platform.decodeWorker(id, item.value));
+        const std::optional<jobs::worker_info> worker = m_platform.decodeWorker(id, item.value);
+        // An entry that can't be used counts as none, also if an earlier one could be: what that one said may
+        // no longer hold.
+        if (!worker)
+            observe::logLimited(log_level::warning, "worker entry that can't be used ignored",
+                                {{"key", item.key}}, kernel::monotonicNow());
+        owner->updateWorker(id, worker);
     };
     events.removed = [owner, idOf](const std::string &key) { owner->updateWorker(idOf(key), std::nullopt); };
     store::watcher_settings watcherSettings;
@@ -270,21 +276,35 @@
 task<void> node_daemon::electionLoop()
 {
     while (!m_stopping) {
-        if (m_owner && m_owner->hasResigned()) {
-            co_await fleet::releaseOwnership(m_platform.store, *m_term);
-            m_workerKeys->stop();
-            m_owner.reset();
-            m_ownerServing = false;
+        bool failed = false;
+        try {
+            co_await electionStep();
+        } catch (const std::exception &error) {
+            failed = true;
+            observe::logLimited(log_level::error, "unexpected error in the election",
+                                {{"error", error.what()}}, kernel::monotonicNow());
         }
-        if (m_owner)
-            co_await maintainOwnership();
-        else if (m_ownerKeys->isListed() && m_ownerView.address.empty())
-            co_await tryBecomeOwner();
-        else if (m_ownerKeys->isListed() && fleet::isPreviousRun(m_ownerView, m_settings.peerAddress))
-            co_await clearPreviousOwnership();
-        else
-            co_await m_electionSignal->wait(m_election.renewInterval);
+        if (failed)
+            co_await kernel::sleepFor(m_election.renewInterval);
+    }
+}
+
+task<void> node_daemon::electionStep()
+{
+    if (m_owner && m_owner->hasResigned()) {
+        co_await fleet::releaseOwnership(m_platform.store, *m_term);
+        m_workerKeys->stop();
+        m_owner.reset();
+        m_ownerServing = false;
     }
+    if (m_owner)
+        co_await maintainOwnership();
+    else if (m_ownerKeys->isListed() && m_ownerView.address.empty())
+        co_await tryBecomeOwner();
+    else if (m_ownerKeys->isListed() && fleet::isPreviousRun(m_ownerView, m_settings.peerAddress))
+        co_await clearPreviousOwnership();
+    else
+        co_await m_electionSignal->wait(m_election.renewInterval);
 }
 
 task<void> node_daemon::clearPreviousOwnership()
--- a/src/daemon/node_daemon.h
+++ b/src/daemon/node_daemon.h
@@ -73,6 +73,7 @@
     void exportCounters();
     std::string collectMetrics();
     kernel::task<void> electionLoop();
+    kernel::task<void> electionStep();
     kernel::task<void> clearPreviousOwnership();
     kernel::task<void> tryBecomeOwner();
     kernel::task<void> maintainOwnership();
--- a/src/fleet/caller_service.cpp
+++ b/src/fleet/caller_service.cpp
@@ -164,8 +164,9 @@
     arguments["queue"] = queue;
     const auto response
         = co_await askOwner(pendingCall, arguments, std::min(m_dependencies.rules.ownerTimeout, timeout));
-    result.outcome = response ? call_outcome::ok : call_outcome::refused;
-    if (response)
+    const bool counted = response && response->is_number_unsigned();
+    result.outcome = counted ? call_outcome::ok : call_outcome::refused;
+    if (counted)
         result.count = response->get<std::size_t>();
     co_return result;
 }
--- a/src/fleet/former_owners.cpp
+++ b/src/fleet/former_owners.cpp
@@ -33,7 +33,8 @@
         const std::string address = owners.back();
         const auto response
             = co_await peers->call(address, renewalQueryCall, arguments, rules.responseTimeout);
-        const bool mayRenew = !response || response->value("renews", true);
+        const bool mayRenew
+            = !response || !response->is_object() || response->value("renews", json()) != json(false);
         if (!mayRenew) {
             owners.pop_back();
             continue;
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -96,8 +96,18 @@
         // are durable would be a busy loop.
         if (worker->session.endsRead > worker->session.endsDurable)
             co_await worker->signal.wait(m_dependencies.rules.contendedPollWait);
-        if (!m_resigned)
-            co_await pollOnce(worker);
+        bool failed = false;
+        try {
+            if (!m_resigned)
+                co_await pollOnce(worker);
+        } catch (const std::exception &error) {
+            failed = true;
+            observe::logLimited(log_level::error, "unexpected error while polling a worker",
+                                {{"worker", worker->session.incarnation}, {"error", error.what()}},
+                                m_dependencies.clock());
+        }
+        if (failed)
+            co_await kernel::sleepFor(m_dependencies.rules.retryDelay);
     }
     worker->loopRunning = false;
 }
--- a/src/fleet/owner_election.cpp
+++ b/src/fleet/owner_election.cpp
@@ -1,5 +1,7 @@
 #include "fleet/owner_election.h"
 
+#include "codec/bounded_json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -11,6 +13,30 @@
 using nlohmann::json;
 using store::store_status;
 
+namespace {
+
+struct owner_term
+{
+    std::uint64_t term = 0;
+    std::vector<std::string> recentOwners;
+};
+
+//! Returns an empty term if \a value is not an encoded one.
+owner_term decodeTerm(const std::string &value)
+{
+    try {
+        const std::optional<json> parsed = codec::parseText(value);
+        if (!parsed || !parsed->is_object())
+            return {};
+        return {codec::integerMember(*parsed, "term", std::uint64_t{0}),
+                parsed->value("holders", std::vector<std::string>{})};
+    } catch (const std::exception &) {
+        return {};
+    }
+}
+
+} // namespace
+
 void applyOwnerKey(owner_view &view, const std::string &key, const std::string &value, std::int64_t revision,
                    time_point now)
 {
@@ -18,11 +44,10 @@
         view.address = value;
         view.ownerRevision = value.empty() ? 0 : revision;
     } else if (key == election_key::term) {
-        const json newest = json::parse(value, nullptr, false);
-        const bool valid = newest.is_object();
-        view.term = valid ? newest.value("term", std::uint64_t{0}) : 0;
-        view.recentOwners
-            = valid ? newest.value("holders", std::vector<std::string>{}) : std::vector<std::string>{};
+        const owner_term newest = decodeTerm(value);
+        // The term never falls: workers refuse the orders of an owner with a lower one.
+        view.term = value.empty() ? 0 : std::max(view.term, newest.term);
+        view.recentOwners = newest.recentOwners;
         view.termRevision = value.empty() ? 0 : revision;
         view.termSeenAt = now;
     }
--- a/src/http/address.h
+++ b/src/http/address.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <cstdlib>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,16 +14,14 @@
     std::uint16_t port = 0;
 };
 
-//! Splits \a address (IP:PORT), which must be valid: the settings check it when they are read.
-//! Without a colon, the port is 0.
-inline host_port splitAddress(std::string_view address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string_view::npos)
-        return {std::string(address), 0};
-    const std::string port(address.substr(colon + 1));
-    return {std::string(address.substr(0, colon)),
-            static_cast<std::uint16_t>(std::strtoul(port.c_str(), nullptr, 10))};
-}
+//! Parses \a address (IP:PORT). Empty if it has no IP address or its port is not a number from 0 to 65535.
+std::optional<host_port> parseAddress(std::string_view address);
+
+//! Whether \a address can be connected to: parseAddress() accepts it and the port is not 0.
+bool isPeerAddress(std::string_view address);
+
+//! The same as parseAddress() for an address that the settings have checked. An invalid one gives an empty
+//! host and port 0.
+host_port splitAddress(std::string_view address);
 
 } // namespace almond::http
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -76,12 +76,16 @@
 task<connection_pool::connection_ptr> connection_pool::connect(const std::string &peer, steady_time deadline,
                                                                std::string &detail)
 {
-    const host_port target = splitAddress(peer);
+    const std::optional<host_port> target = parseAddress(peer);
+    if (!target) {
+        detail = "connect: not an address: " + peer;
+        co_return nullptr;
+    }
     auto conn = std::make_unique<connection>(m_context, m_open);
     conn->tcpStream.expires_at(
         std::min(deadline, std::chrono::steady_clock::now() + m_limits.connectTimeout));
     error_code error;
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(target.host, error), target.port);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(target->host, error), target->port);
     if (!error)
         co_await conn->tcpStream.async_connect(endpoint, redirectTo(error));
     if (error) {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include "http/address.h"
+#include "observe/log.h"
 
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -34,6 +35,16 @@
     return status::bad_request;
 }
 
+//! The reply for a request whose handler threw: it may have had an effect.
+reply failedReply(const std::exception &error)
+{
+    observe::logLimited(observe::log_level::error, "unexpected error in handling a request",
+                        {{"error", error.what()}}, kernel::monotonicNow());
+    reply answer = makeErrorReply(status::internal_server_error, "unexpected error");
+    answer.message.set("Almond-Outcome", "unknown");
+    return answer;
+}
+
 } // namespace
 
 server::server(asio::io_context &context, server_limits limits, handler handle)
@@ -101,7 +112,12 @@
         ++m_counters.requests;
         ++m_inFlight;
         const request requestHeader(beast::http::request_header<>(message.base()));
-        reply answer = co_await m_handle(std::move(message));
+        reply answer;
+        try {
+            answer = co_await m_handle(std::move(message));
+        } catch (const std::exception &error) {
+            answer = failedReply(error);
+        }
         const bool keepOpen = co_await sendReply(client, std::move(answer), requestHeader);
         --m_inFlight;
         client.busy = false;
--- a/src/placement/cell_owner.cpp
+++ b/src/placement/cell_owner.cpp
@@ -48,7 +48,13 @@
     m_snapshotIndex = contents.snapshotIndex;
     for (const store::journal_entry &entry : contents.entries) {
         m_state.index = entry.index;
-        applyBatch({decodeRecords(entry.body), {}});
+        try {
+            applyBatch({decodeRecords(entry.body), {}});
+        } catch (const std::exception &error) {
+            observe::logLimited(log_level::error, "malformed entry in the journal of a cell ignored",
+                                {{"cell", m_name}, {"index", entry.index}, {"error", error.what()}},
+                                kernel::monotonicNow());
+        }
     }
     m_counters = {};
     commit_batch first;
--- a/src/placement/ownership.cpp
+++ b/src/placement/ownership.cpp
@@ -1,5 +1,7 @@
 #include "placement/ownership.h"
 
+#include "codec/bounded_json.h"
+#include "observe/log.h"
 #include "placement/cell_directory.h"
 
 #include <nlohmann/json.hpp>
@@ -13,10 +15,15 @@
 const std::string memberPrefix = std::string(schedulerPrefix) + "member/";
 const std::string ownerPrefix = std::string(schedulerPrefix) + "owner/";
 
-scheduler_member decodeMember(const std::string &value)
+//! Empty if \a value is not an encoded member.
+std::optional<scheduler_member> decodeMember(const std::string &value)
 {
-    const json parsed = json::parse(value);
-    return {parsed.at("id"), parsed.at("peerAddress")};
+    const std::optional<json> parsed = codec::parseText(value);
+    const bool whole = parsed && parsed->is_object() && parsed->value("id", json()).is_string()
+        && parsed->value("peerAddress", json()).is_string();
+    if (!whole)
+        return std::nullopt;
+    return scheduler_member{(*parsed)["id"], (*parsed)["peerAddress"]};
 }
 
 bool mayAcquire(const std::string &cell, const std::string &assignedMember, const std::string &self,
@@ -47,10 +54,14 @@
 {
     ownership_view view;
     for (const store::stored_item &item : items) {
-        if (item.key.starts_with(memberPrefix))
-            view.members.emplace(item.key.substr(memberPrefix.size()), decodeMember(item.value));
+        const std::optional<scheduler_member> member = decodeMember(item.value);
+        if (!member)
+            observe::logLimited(observe::log_level::error, "malformed scheduler entry ignored",
+                                {{"key", item.key}}, kernel::monotonicNow());
+        else if (item.key.starts_with(memberPrefix))
+            view.members.emplace(item.key.substr(memberPrefix.size()), *member);
         else if (item.key.starts_with(ownerPrefix))
-            view.owners.emplace(item.key.substr(ownerPrefix.size()), decodeMember(item.value));
+            view.owners.emplace(item.key.substr(ownerPrefix.size()), *member);
     }
     return view;
 }
--- a/src/placement/ownership.h
+++ b/src/placement/ownership.h
@@ -33,7 +33,7 @@
 std::string ownerKey(const std::string &cell);
 std::string encodeMember(const scheduler_member &member);
 
-//! Decodes the items under schedulerPrefix. Throws nlohmann::json::exception on a malformed item.
+//! Decodes the items under schedulerPrefix. Malformed items are left out.
 ownership_view decodeOwnership(std::span<const store::stored_item> items);
 
 //! Cells for which this process must act, by action.
--- a/src/relay/order_relay.cpp
+++ b/src/relay/order_relay.cpp
@@ -34,7 +34,7 @@
             const auto response = co_await m_dependencies.peers->call(owner, calls::offer, std::move(offer),
                                                                       m_dependencies.rules.receiptTimeout);
             // An owner that does not respond may be overloaded, and so needs help.
-            wanted = !response || response->value("wanted", false);
+            wanted = !response || (response->is_object() && response->value("wanted", json()) == json(true));
         }
         co_await kernel::sleepFor(wanted ? m_dependencies.rules.offerInterval
                                          : m_dependencies.rules.idleOfferInterval);
--- a/src/settings/object_reader.cpp
+++ b/src/settings/object_reader.cpp
@@ -1,9 +1,8 @@
 #include "settings/object_reader.h"
 
-#include <boost/asio/ip/address.hpp>
+#include "http/address.h"
 
 #include <algorithm>
-#include <charconv>
 #include <fstream>
 #include <sstream>
 
@@ -82,7 +81,7 @@
 {
     const std::string value = requiredString(key);
     m_described.back().limits = "IP:PORT";
-    if (!value.empty() && !isAddress(value))
+    if (!value.empty() && !http::isPeerAddress(value))
         addFinding(key, "is \"" + value + "\", must be an IP number and a port, such as 127.0.0.1:8080");
     return value;
 }
@@ -100,7 +99,7 @@
     }
     for (std::size_t index = 0; index < value->size(); ++index) {
         const json &item = (*value)[index];
-        if (item.is_string() && isAddress(item.get_ref<const std::string &>()))
+        if (item.is_string() && http::isPeerAddress(item.get_ref<const std::string &>()))
             result.push_back(item.get<std::string>());
         else
             m_findings.push_back(
@@ -195,22 +194,6 @@
     }
 }
 
-bool isAddress(std::string_view address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string_view::npos)
-        return false;
-    boost::system::error_code error;
-    boost::asio::ip::make_address(std::string(address.substr(0, colon)), error);
-    if (error)
-        return false;
-    const std::string_view digits = address.substr(colon + 1);
-    int port = 0;
-    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    return parsed.ec == std::errc() && parsed.ptr == digits.data() + digits.size() && port >= 1
-        && port <= 65535;
-}
-
 json parseWithComments(std::string_view text, std::string_view name, findings &found)
 {
     try {
--- a/src/settings/object_reader.h
+++ b/src/settings/object_reader.h
@@ -77,9 +77,6 @@
     std::vector<field_description> m_described;
 };
 
-//! Tells whether \a address is IP:PORT with a port from 1 to 65535.
-bool isAddress(std::string_view address);
-
 //! Parses \a text as JSON with comments. A syntax error adds one finding at "name:line" and gives an empty
 //! object.
 json parseWithComments(std::string_view text, std::string_view name, findings &found);
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "wire/peer_link.h"
 
+#include "codec/bounded_json.h"
 #include "http/address.h"
 #include "kernel/completion.h"
 #include "observe/log.h"
@@ -20,9 +21,15 @@
     return {bytes.begin(), bytes.end()};
 }
 
-json decode(const std::string &bytes)
+//! Whether \a message has the members of a call or of a response, each of its type.
+bool isWellFormed(const json &message)
 {
-    return json::from_cbor(bytes, true, false);
+    if (!message.is_object())
+        return false;
+    const auto call = message.find("call");
+    const auto method = message.find("method");
+    return call != message.end() && call->is_number_unsigned()
+        && (method == message.end() || method->is_string());
 }
 
 } // namespace
@@ -94,6 +101,8 @@
 task<std::optional<json>> peer_link::call(std::string peer, std::string name, json arguments,
                                           kernel::milliseconds timeout)
 {
+    if (!http::isPeerAddress(peer))
+        co_return std::nullopt;
     const std::uint64_t number = m_nextCall++;
     connection &conn = connectionTo(peer);
     auto pending = std::make_shared<pending_call>(m_context, conn.id, conn.receivedMessages);
@@ -163,9 +172,15 @@
 
 void peer_link::onReceived(connection_id id, const std::string &bytes)
 {
-    json message = decode(bytes);
-    if (!message.is_object())
+    std::optional<json> parsed = codec::parseCbor(bytes);
+    if (!parsed || !isWellFormed(*parsed)) {
+        ++m_malformedMessages;
+        observe::logLimited(observe::log_level::warning, "malformed message from a peer ignored",
+                            {{"bytes", bytes.size()}, {"total", m_malformedMessages}},
+                            kernel::monotonicNow());
         return;
+    }
+    json message = std::move(*parsed);
     if (message.contains("method")) {
         kernel::spawn(m_context.get_executor(), handleCall(id, std::move(message)));
         return;
@@ -173,7 +188,7 @@
     const auto conn = m_outgoing.find(id);
     if (conn != m_outgoing.end())
         ++conn->second.receivedMessages;
-    const auto found = m_pending.find(message.value("call", std::uint64_t{0}));
+    const auto found = m_pending.find(message["call"].get<std::uint64_t>());
     if (found == m_pending.end())
         return;
     found->second->response.complete(std::move(message["result"]));
@@ -181,19 +196,21 @@
 
 task<void> peer_link::handleCall(connection_id id, json message)
 {
-    const auto found = m_methods.find(message.value("method", ""));
+    const auto found = m_methods.find(message["method"].get_ref<const std::string &>());
     if (found == m_methods.end()) {
-        observe::log(observe::log_level::warning, "peer called an unknown method; no response sent",
-                     {{"method", message["method"]}});
+        observe::logLimited(observe::log_level::warning, "peer called an unknown method; no response sent",
+                            {{"method", message["method"]}}, kernel::monotonicNow());
         co_return;
     }
     try {
         json result = co_await found->second(message["arguments"]);
         m_endpoint->send(id, encode({{"call", message["call"]}, {"result", std::move(result)}}));
-    } catch (const json::exception &error) {
-        observe::log(observe::log_level::warning,
-                     "call from a peer failed with a JSON error; no response sent",
-                     {{"error", error.what()}});
+    } catch (const std::exception &error) {
+        ++m_failedCalls;
+        observe::logLimited(
+            observe::log_level::warning, "call from a peer failed; no response sent",
+            {{"method", message["method"]}, {"error", error.what()}, {"total", m_failedCalls}},
+            kernel::monotonicNow());
     }
 }
 
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -60,6 +60,9 @@
     std::map<connection_id, connection> m_outgoing;
     std::map<std::uint64_t, std::shared_ptr<pending_call>> m_pending;
     std::uint64_t m_nextCall = 1;
+    std::uint64_t m_malformedMessages = 0;
+    //! Calls of peers whose handler threw.
+    std::uint64_t m_failedCalls = 0;
 };
 
 } // namespace almond::wire
