Rank the candidates of a step once, not once for each of its tasks

Placing a task changes only its own candidate, so the others keep their rank. Ruled out: another order of placement; the choices are the same (property test against a pass over all candidates).

--- /dev/null
+++ b/src/jobs/placement_round.cpp
@@ -0,0 +1,214 @@
+#include "jobs/placement_round.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace almond::jobs {
+
+namespace {
+
+bool hasFreeCapacity(const candidate &worker, const step_spec &spec)
+{
+    if (!spec.bestEffort)
+        return fits(spec.demand, worker.available);
+    resources guaranteed = spec.demand;
+    guaranteed.millicores = 0;
+    const bool hasSpareCpu = worker.spareMillicores >= spec.demand.millicores
+        || (worker.bestEffortMillicores == 0 && worker.spareMillicores * 2 >= spec.demand.millicores);
+    return hasSpareCpu && fits(guaranteed, worker.available);
+}
+
+//! Slack that one more task takes from \a serving on \a worker.
+double slackTakenBy(const planning_round &round, const candidate &worker, const serving_view &serving,
+                    const placement_request &task)
+{
+    const interference_view &known = round.interference;
+    const double perCore = task.image
+        ? slackPerCore(known.model, known.rules.learning, serving.image, *task.image)
+        : known.rules.learning.priorSlackPerCore;
+    return modelCores(task.spec->demand.millicores, worker.info.capacity) * perCore;
+}
+
+//! Least slack that a serving task on \a worker would have beside one more task, if the task took twice the
+//! slack that the model predicts. Ignores serving tasks to which the task is harmless.
+double worstSlackWith(const planning_round &round, const candidate &worker, const placement_request &task)
+{
+    double least = round.interference.rules.largestSlack;
+    for (const serving_view &serving : worker.serving) {
+        const double taken = slackTakenBy(round, worker, serving, task);
+        if (taken > round.interference.rules.negligibleSlack)
+            least = std::min(least, serving.slack - 2.0 * taken);
+    }
+    return least;
+}
+
+bool canRun(const planning_round &round, const candidate &worker, const placement_request &task)
+{
+    const step_spec &spec = *task.spec;
+    if (!hasFreeCapacity(worker, spec) || worker.info.service != task.step->queue->service)
+        return false;
+    if (worker.reserved && !spec.longRunning && !spec.bestEffort)
+        return false;
+    if (worker.bestEffortBlocked && spec.bestEffort)
+        return false;
+    if (!spec.requiredLabel.empty() && !hasLabel(worker.info, spec.requiredLabel))
+        return false;
+    return spec.perWorkerLimit == 0 || tasksOfStep(round, worker, task.first) < spec.perWorkerLimit;
+}
+
+//! Number of serving tasks of other images on \a worker.
+std::ptrdiff_t countOtherImages(const candidate &worker, const placement_request &task)
+{
+    return std::count_if(worker.serving.begin(), worker.serving.end(), [&task](const serving_view &serving) {
+        return !task.image || serving.image != *task.image;
+    });
+}
+
+//! Returns the score of a candidate, higher is better; nothing if it cannot take the task. Tasks with
+//! guaranteed resources are packed tightly, so that large ones still fit elsewhere. Serving tasks are grouped
+//! by image, so that best-effort tasks that interfere with one image find workers without it. Best-effort
+//! tasks go where they interfere least.
+std::optional<double> score(const planning_round &round, const candidate &worker,
+                            const placement_request &task)
+{
+    constexpr double remoteDataPenalty = 1e9;
+    constexpr double mixedImagePenalty = 1e6;
+    const step_spec &spec = *task.spec;
+    if (!canRun(round, worker, task))
+        return std::nullopt;
+    const bool nearData = spec.dataRack.empty() || hasLabel(worker.info, spec.dataRack);
+    const double locality = nearData ? 0.0 : -remoteDataPenalty;
+    if (!spec.bestEffort) {
+        const double mixed = spec.longRunning && spec.tailLatencyTarget.count() > 0
+            ? mixedImagePenalty * static_cast<double>(countOtherImages(worker, task))
+            : 0.0;
+        return locality - mixed - static_cast<double>(worker.available.millicores - spec.demand.millicores);
+    }
+    const double slack = worstSlackWith(round, worker, task);
+    if (slack < round.interference.rules.placementSlack)
+        return std::nullopt;
+    return locality + slack
+        + static_cast<double>(worker.spareMillicores)
+        / static_cast<double>(std::max<std::int64_t>(worker.info.capacity.millicores, 1));
+}
+
+void deduct(const planning_round &round, candidate &worker, const placement_request &task)
+{
+    const step_spec &spec = *task.spec;
+    resources guaranteed = spec.demand;
+    if (spec.bestEffort) {
+        for (serving_view &serving : worker.serving)
+            serving.slack -= slackTakenBy(round, worker, serving, task);
+        worker.spareMillicores -= guaranteed.millicores;
+        worker.bestEffortMillicores += guaranteed.millicores;
+        guaranteed.millicores = 0;
+    } else {
+        worker.spareMillicores
+            -= spec.longRunning ? guaranteed.millicores * servingUsePercent / 100 : guaranteed.millicores;
+    }
+    if (spec.longRunning && spec.tailLatencyTarget.count() > 0 && task.image)
+        worker.serving.push_back({*task.image, round.interference.rules.learning.priorBaselineSlack});
+    worker.available = worker.available - guaranteed;
+}
+
+} // namespace
+
+task_name firstTaskOf(const ready_step &step)
+{
+    return {step.jobState->spec.id, step.occurrence, step.step, 0};
+}
+
+std::uint32_t tasksOfStep(const planning_round &round, const candidate &worker, const task_name &first)
+{
+    std::uint32_t count = 0;
+    const auto load = round.table.loads.find(worker.incarnation);
+    if (load != round.table.loads.end()) {
+        for (auto run = load->second.runs.lower_bound(first); run != load->second.runs.end(); ++run) {
+            const task_name &name = run->first;
+            if (name.job != first.job || name.occurrence != first.occurrence || name.step != first.step)
+                break;
+            ++count;
+        }
+    }
+    const auto added = round.placed.find({worker.incarnation, first});
+    return count + (added == round.placed.end() ? 0 : added->second);
+}
+
+placement_request placementRequestOf(const planning_round &round, const ready_step &step)
+{
+    const step_spec &spec = step.jobState->spec.steps[step.step];
+    const auto known = round.interference.model.numbers.find(spec.image);
+    placement_request result{&step, &spec, firstTaskOf(step), {}};
+    if (known != round.interference.model.numbers.end())
+        result.image = known->second;
+    return result;
+}
+
+std::ptrdiff_t chooseCandidate(const planning_round &round, const placement_request &task,
+                               std::string_view rack)
+{
+    std::ptrdiff_t best = -1;
+    double bestValue = -std::numeric_limits<double>::infinity();
+    for (std::size_t index = 0; index < round.candidates.size(); ++index) {
+        const candidate &worker = round.candidates[index];
+        if (!rack.empty() && worker.info.rack != rack)
+            continue;
+        const std::optional<double> value = score(round, worker, task);
+        if (value && *value > bestValue) {
+            best = static_cast<std::ptrdiff_t>(index);
+            bestValue = *value;
+        }
+    }
+    return best;
+}
+
+void place(planning_round &round, const placement_request &task, std::uint32_t index, std::uint32_t run,
+           std::size_t candidateIndex)
+{
+    candidate &worker = round.candidates[candidateIndex];
+    deduct(round, worker, task);
+    ++round.placed[{worker.incarnation, task.first}];
+    journal_record record;
+    record.task = task.first;
+    record.task.index = index;
+    record.run = run;
+    record.worker = worker.incarnation;
+    round.records.push_back(std::move(record));
+}
+
+candidate_ranking::candidate_ranking(const planning_round &round, const placement_request &task)
+    : m_round(round)
+    , m_task(task)
+{
+    for (std::size_t index = 0; index < round.candidates.size(); ++index) {
+        const std::optional<double> value = score(round, round.candidates[index], task);
+        if (value)
+            m_heap.push_back({*value, index});
+    }
+    std::make_heap(m_heap.begin(), m_heap.end(), isWorse);
+}
+
+//! Of two candidates with the same score, the earlier one is better.
+bool candidate_ranking::isWorse(const ranked &left, const ranked &right)
+{
+    return left.value < right.value || (left.value == right.value && left.index > right.index);
+}
+
+std::ptrdiff_t candidate_ranking::best() const
+{
+    return m_heap.empty() ? -1 : static_cast<std::ptrdiff_t>(m_heap.front().index);
+}
+
+void candidate_ranking::updateBest()
+{
+    std::pop_heap(m_heap.begin(), m_heap.end(), isWorse);
+    const std::optional<double> value = score(m_round, m_round.candidates[m_heap.back().index], m_task);
+    if (!value) {
+        m_heap.pop_back();
+        return;
+    }
+    m_heap.back().value = *value;
+    std::push_heap(m_heap.begin(), m_heap.end(), isWorse);
+}
+
+} // namespace almond::jobs
--- /dev/null
+++ b/src/jobs/placement_round.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "jobs/lateness.h"
+#include "jobs/planner.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+//! Choice of a worker for one task within a planning round; internal to the planner.
+namespace almond::jobs {
+
+//! Percentage of their reserved CPU that serving tasks are expected to use; the rest is available to
+//! best-effort tasks. With a lower value best-effort tasks crowd the serving tasks.
+inline constexpr std::int64_t servingUsePercent = 60;
+
+//! A step whose tasks may start.
+struct ready_step
+{
+    int priority = 0;
+    //! False sorts first.
+    bool longRunning = false;
+    lateness expectedLateness = lateness::inTime;
+    std::int64_t acceptedAtMs = 0;
+    const job_state *jobState = nullptr;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    const queue_rules *queue = nullptr;
+};
+
+//! All properties of a task that determine where it can run, except its demand.
+using placement_key = std::tuple<std::string_view, std::string_view, std::string_view, bool, bool>;
+
+//! State of one planning round: the free capacity of candidates shrinks as tasks are placed.
+struct planning_round
+{
+    const job_table &table;
+    const interference_view &interference;
+    std::vector<candidate> candidates;
+    //! Number of tasks placed in this round by candidate and step.
+    std::map<std::pair<std::string, task_name>, std::uint32_t> placed;
+    std::vector<journal_record> records;
+    //! Long-running tasks that were placed before the others of their priority.
+    std::set<task_name> placedEarly;
+    //! For each kind of task that fitted on no candidate in this round, the smallest demand that did not fit.
+    std::map<placement_key, resources> unplacedDemands;
+};
+
+//! Properties of a step that are needed to choose a candidate, looked up once.
+struct placement_request
+{
+    const ready_step *step = nullptr;
+    const step_spec *spec = nullptr;
+    task_name first;
+    //! Empty for an image that the model does not know yet.
+    std::optional<image_number> image;
+};
+
+task_name firstTaskOf(const ready_step &step);
+std::uint32_t tasksOfStep(const planning_round &round, const candidate &worker, const task_name &first);
+placement_request placementRequestOf(const planning_round &round, const ready_step &step);
+
+//! Returns the index of the best candidate for one task on \a rack, or on any rack if it is empty; -1 for
+//! none.
+std::ptrdiff_t chooseCandidate(const planning_round &round, const placement_request &task,
+                               std::string_view rack);
+
+//! Places the task \a index of the step on the candidate \a candidateIndex.
+void place(planning_round &round, const placement_request &task, std::uint32_t index, std::uint32_t run,
+           std::size_t candidateIndex);
+
+//! The candidates for the tasks of one step, best first. Placing a task changes only its own candidate, so
+//! the next best one is found without another pass over the fleet.
+class candidate_ranking
+{
+public:
+    candidate_ranking(const planning_round &round, const placement_request &task);
+
+    //! Returns the index of the best candidate, as chooseCandidate() does for any rack; -1 for none.
+    std::ptrdiff_t best() const;
+    //! Ranks the best candidate again after a task was placed on it.
+    void updateBest();
+
+private:
+    struct ranked
+    {
+        double value = 0.0;
+        std::size_t index = 0;
+    };
+    static bool isWorse(const ranked &left, const ranked &right);
+
+    const planning_round &m_round;
+    const placement_request &m_task;
+    std::vector<ranked> m_heap;
+};
+
+} // namespace almond::jobs
--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -1,6 +1,6 @@
 #include "jobs/planner.h"
 
-#include "jobs/lateness.h"
+#include "jobs/placement_round.h"
 
 #include <algorithm>
 #include <limits>
@@ -11,29 +11,12 @@
 
 namespace {
 
-//! Percentage of their reserved CPU that serving tasks are expected to use; the rest is available to
-//! best-effort tasks. With a lower value best-effort tasks crowd the serving tasks.
-constexpr std::int64_t servingUsePercent = 60;
-
 //! New long-running tasks wait up to this long for batch tasks of their priority; a batch task ends within
 //! that time. After that a few go first in each round, one per workersPerReservation workers, with workers
 //! reserved for them.
 constexpr milliseconds newLongRunningDelay{3000};
 constexpr std::size_t workersPerReservation = 100;
 
-struct ready_step
-{
-    int priority = 0;
-    //! False sorts first.
-    bool longRunning = false;
-    lateness expectedLateness = lateness::inTime;
-    std::int64_t acceptedAtMs = 0;
-    const job_state *jobState = nullptr;
-    std::uint32_t occurrence = 0;
-    std::uint32_t step = 0;
-    const queue_rules *queue = nullptr;
-};
-
 std::vector<ready_step> readySteps(const job_table &table, const fleet_config &config, time_point unixNow)
 {
     std::vector<ready_step> ready;
@@ -61,203 +44,6 @@
     return ready;
 }
 
-//! All properties of a task that determine where it can run, except its demand.
-using placement_key = std::tuple<std::string_view, std::string_view, std::string_view, bool, bool>;
-
-//! State of one planning round: the free capacity of candidates shrinks as tasks are placed.
-struct planning_round
-{
-    const job_table &table;
-    const interference_view &interference;
-    std::vector<candidate> candidates;
-    //! Number of tasks placed in this round by candidate and step.
-    std::map<std::pair<std::string, task_name>, std::uint32_t> placed;
-    std::vector<journal_record> records;
-    //! Long-running tasks that were placed before the others of their priority.
-    std::set<task_name> placedEarly;
-    //! For each kind of task that fitted on no candidate in this round, the smallest demand that did not fit.
-    std::map<placement_key, resources> unplacedDemands;
-};
-
-task_name firstTaskOf(const ready_step &step)
-{
-    return {step.jobState->spec.id, step.occurrence, step.step, 0};
-}
-
-std::uint32_t tasksOfStep(const planning_round &round, const candidate &worker, const task_name &first)
-{
-    std::uint32_t count = 0;
-    const auto load = round.table.loads.find(worker.incarnation);
-    if (load != round.table.loads.end()) {
-        for (auto run = load->second.runs.lower_bound(first); run != load->second.runs.end(); ++run) {
-            const task_name &name = run->first;
-            if (name.job != first.job || name.occurrence != first.occurrence || name.step != first.step)
-                break;
-            ++count;
-        }
-    }
-    const auto added = round.placed.find({worker.incarnation, first});
-    return count + (added == round.placed.end() ? 0 : added->second);
-}
-
-bool hasFreeCapacity(const candidate &worker, const step_spec &spec)
-{
-    if (!spec.bestEffort)
-        return fits(spec.demand, worker.available);
-    resources guaranteed = spec.demand;
-    guaranteed.millicores = 0;
-    const bool hasSpareCpu = worker.spareMillicores >= spec.demand.millicores
-        || (worker.bestEffortMillicores == 0 && worker.spareMillicores * 2 >= spec.demand.millicores);
-    return hasSpareCpu && fits(guaranteed, worker.available);
-}
-
-//! Properties of a step that are needed to choose a candidate, looked up once.
-struct placement_request
-{
-    const ready_step *step = nullptr;
-    const step_spec *spec = nullptr;
-    task_name first;
-    //! Empty for an image that the model does not know yet.
-    std::optional<image_number> image;
-};
-
-placement_request placementRequestOf(const planning_round &round, const ready_step &step)
-{
-    const step_spec &spec = step.jobState->spec.steps[step.step];
-    const auto known = round.interference.model.numbers.find(spec.image);
-    placement_request result{&step, &spec, firstTaskOf(step), {}};
-    if (known != round.interference.model.numbers.end())
-        result.image = known->second;
-    return result;
-}
-
-//! Slack that one more task takes from \a serving on \a worker.
-double slackTakenBy(const planning_round &round, const candidate &worker, const serving_view &serving,
-                    const placement_request &task)
-{
-    const interference_view &known = round.interference;
-    const double perCore = task.image
-        ? slackPerCore(known.model, known.rules.learning, serving.image, *task.image)
-        : known.rules.learning.priorSlackPerCore;
-    return modelCores(task.spec->demand.millicores, worker.info.capacity) * perCore;
-}
-
-//! Least slack that a serving task on \a worker would have beside one more task, if the task took twice the
-//! slack that the model predicts. Ignores serving tasks to which the task is harmless.
-double worstSlackWith(const planning_round &round, const candidate &worker, const placement_request &task)
-{
-    double least = round.interference.rules.largestSlack;
-    for (const serving_view &serving : worker.serving) {
-        const double taken = slackTakenBy(round, worker, serving, task);
-        if (taken > round.interference.rules.negligibleSlack)
-            least = std::min(least, serving.slack - 2.0 * taken);
-    }
-    return least;
-}
-
-bool canRun(const planning_round &round, const candidate &worker, const placement_request &task)
-{
-    const step_spec &spec = *task.spec;
-    if (!hasFreeCapacity(worker, spec) || worker.info.service != task.step->queue->service)
-        return false;
-    if (worker.reserved && !spec.longRunning && !spec.bestEffort)
-        return false;
-    if (worker.bestEffortBlocked && spec.bestEffort)
-        return false;
-    if (!spec.requiredLabel.empty() && !hasLabel(worker.info, spec.requiredLabel))
-        return false;
-    return spec.perWorkerLimit == 0 || tasksOfStep(round, worker, task.first) < spec.perWorkerLimit;
-}
-
-//! Number of serving tasks of other images on \a worker.
-std::ptrdiff_t countOtherImages(const candidate &worker, const placement_request &task)
-{
-    return std::count_if(worker.serving.begin(), worker.serving.end(), [&task](const serving_view &serving) {
-        return !task.image || serving.image != *task.image;
-    });
-}
-
-//! Returns the score of a candidate, higher is better; nothing if it cannot take the task. Tasks with
-//! guaranteed resources are packed tightly, so that large ones still fit elsewhere. Serving tasks are grouped
-//! by image, so that best-effort tasks that interfere with one image find workers without it. Best-effort
-//! tasks go where they interfere least.
-std::optional<double> score(const planning_round &round, const candidate &worker,
-                            const placement_request &task)
-{
-    constexpr double remoteDataPenalty = 1e9;
-    constexpr double mixedImagePenalty = 1e6;
-    const step_spec &spec = *task.spec;
-    if (!canRun(round, worker, task))
-        return std::nullopt;
-    const bool nearData = spec.dataRack.empty() || hasLabel(worker.info, spec.dataRack);
-    const double locality = nearData ? 0.0 : -remoteDataPenalty;
-    if (!spec.bestEffort) {
-        const double mixed = spec.longRunning && spec.tailLatencyTarget.count() > 0
-            ? mixedImagePenalty * static_cast<double>(countOtherImages(worker, task))
-            : 0.0;
-        return locality - mixed - static_cast<double>(worker.available.millicores - spec.demand.millicores);
-    }
-    const double slack = worstSlackWith(round, worker, task);
-    if (slack < round.interference.rules.placementSlack)
-        return std::nullopt;
-    return locality + slack
-        + static_cast<double>(worker.spareMillicores)
-        / static_cast<double>(std::max<std::int64_t>(worker.info.capacity.millicores, 1));
-}
-
-//! Returns the index of the best candidate for one task on \a rack, or on any rack if it is empty; -1 for
-//! none.
-std::ptrdiff_t chooseCandidate(const planning_round &round, const placement_request &task,
-                               std::string_view rack)
-{
-    std::ptrdiff_t best = -1;
-    double bestValue = -std::numeric_limits<double>::infinity();
-    for (std::size_t index = 0; index < round.candidates.size(); ++index) {
-        const candidate &worker = round.candidates[index];
-        if (!rack.empty() && worker.info.rack != rack)
-            continue;
-        const std::optional<double> value = score(round, worker, task);
-        if (value && *value > bestValue) {
-            best = static_cast<std::ptrdiff_t>(index);
-            bestValue = *value;
-        }
-    }
-    return best;
-}
-
-void deduct(const planning_round &round, candidate &worker, const placement_request &task)
-{
-    const step_spec &spec = *task.spec;
-    resources guaranteed = spec.demand;
-    if (spec.bestEffort) {
-        for (serving_view &serving : worker.serving)
-            serving.slack -= slackTakenBy(round, worker, serving, task);
-        worker.spareMillicores -= guaranteed.millicores;
-        worker.bestEffortMillicores += guaranteed.millicores;
-        guaranteed.millicores = 0;
-    } else {
-        worker.spareMillicores
-            -= spec.longRunning ? guaranteed.millicores * servingUsePercent / 100 : guaranteed.millicores;
-    }
-    if (spec.longRunning && spec.tailLatencyTarget.count() > 0 && task.image)
-        worker.serving.push_back({*task.image, round.interference.rules.learning.priorBaselineSlack});
-    worker.available = worker.available - guaranteed;
-}
-
-void place(planning_round &round, const placement_request &task, std::uint32_t index, std::uint32_t run,
-           std::size_t candidateIndex)
-{
-    candidate &worker = round.candidates[candidateIndex];
-    deduct(round, worker, task);
-    ++round.placed[{worker.incarnation, task.first}];
-    journal_record record;
-    record.task = task.first;
-    record.task.index = index;
-    record.run = run;
-    record.worker = worker.incarnation;
-    round.records.push_back(std::move(record));
-}
-
 //! Reserves the worker that is closest to having enough free capacity for a long-running task: no new batch
 //! tasks with guaranteed resources are placed there. Returns false if no worker could ever hold the task.
 bool reserveFor(planning_round &round, const ready_step &step)
@@ -312,18 +98,20 @@
     const placement_request task = placementRequestOf(round, step);
     if (isUnplaceable(round, task))
         return;
+    candidate_ranking ranking(round, task);
     const auto &tasks = step.jobState->occurrences.at(step.occurrence).steps[step.step].tasks;
     for (std::uint32_t index = 0; index < tasks.size() && round.records.size() < limit; ++index) {
         task_name name = task.first;
         name.index = index;
         if (tasks[index].phase != task_phase::waiting || round.placedEarly.contains(name))
             continue;
-        const std::ptrdiff_t chosen = chooseCandidate(round, task, {});
+        const std::ptrdiff_t chosen = ranking.best();
         if (chosen < 0) {
             recordUnplaced(round, task);
             return;
         }
         place(round, task, index, tasks[index].run + 1, static_cast<std::size_t>(chosen));
+        ranking.updateBest();
     }
 }
 
