--- a/src/store/fenced_journal.cpp
+++ b/src/store/fenced_journal.cpp
@@ -31,7 +31,7 @@
     transaction change;
     change.preconditions.push_back({fence.ownerKey, fence.ownerRevision});
     change.preconditions.push_back({key, 0});
-    change.puts.push_back({key, encodeEntry(entry), ""});
+    change.puts.push_back({key, encodeCompactEntry(entry), ""});
     append_result result;
     for (int attempt = 0; attempt < limits.attempts; ++attempt) {
         const store_reply reply = co_await store.commit(change);
--- a/src/store/journal_codec.h
+++ b/src/store/journal_codec.h
@@ -10,7 +10,11 @@
 //! Encodes \a entry as a value for the store.
 std::string encodeEntry(const journal_entry &entry);
 
-//! Inverse of encodeEntry(). Empty if \a value is not an encoded entry.
+//! The same, compressed unless \a entry is small: a new owner may read the whole journal over a slow link.
+//! For stores whose values may be any bytes.
+std::string encodeCompactEntry(const journal_entry &entry);
+
+//! Inverse of encodeEntry() and encodeCompactEntry(). Empty if \a value is not an encoded entry.
 std::optional<journal_entry> decodeEntry(std::uint64_t index, const std::string &value);
 
 //! The same, but an entry that can't be decoded has neither writer nor records. It was not written by a
