Pace what passes between an owner and its relays

Cause: on a link of 2 Mbit/s the owner of 140 workers collapsed. Each poll returned the whole list of runs, each start had its payload, all hosts offered themselves 2.5 times a second, batches were sent every 10 ms whether or not earlier ones had arrived, and a late receipt counted as a lost relay, whose orders were sent again. Now one batch is under way in each direction, and what waits makes the next one larger; the time for a receipt follows those before; a relay that sent anything meanwhile is slow, not lost; lists of runs return as differences from the list that the owner names; a payload goes to a relay once; only chosen relays and two spares offer themselves often. Bytes and messages by call are in the metrics and in the dump.

--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -28,6 +28,11 @@
     co_return reply;
 }
 
+void raiseTo(prometheus::Counter &counter, std::uint64_t value)
+{
+    counter.Increment(static_cast<double>(value) - counter.Value());
+}
+
 task<void> runWatcher(std::shared_ptr<store::prefix_watcher> watcher)
 {
     co_await watcher->run();
@@ -41,6 +46,14 @@
     , m_metrics(std::make_shared<prometheus::Registry>())
     , m_counterExport(m_metrics)
     , m_ownerMetrics(fleet::addOwnerMetrics(*m_metrics, jobs::wait_monitor_rules{}))
+    , m_peerBytes(prometheus::BuildCounter()
+                      .Name("almond_peer_bytes_total")
+                      .Help("Bytes of messages between hosts, by call and direction.")
+                      .Register(*m_metrics))
+    , m_peerMessages(prometheus::BuildCounter()
+                         .Name("almond_peer_messages_total")
+                         .Help("Messages between hosts, by call and direction.")
+                         .Register(*m_metrics))
     , m_random(static_cast<std::minstd_rand::result_type>(
           std::hash<std::string>()(m_settings.id + m_settings.callersAddress)))
 {
@@ -224,6 +237,12 @@
 std::string node_daemon::collectMetrics()
 {
     m_counterExport.update();
+    for (const auto &[call, traffic] : m_peers->traffic()) {
+        raiseTo(m_peerBytes.Add({{"call", call}, {"direction", "sent"}}), traffic.bytesSent);
+        raiseTo(m_peerBytes.Add({{"call", call}, {"direction", "received"}}), traffic.bytesReceived);
+        raiseTo(m_peerMessages.Add({{"call", call}, {"direction", "sent"}}), traffic.messagesSent);
+        raiseTo(m_peerMessages.Add({{"call", call}, {"direction", "received"}}), traffic.messagesReceived);
+    }
     if (!m_ownerServing)
         fleet::recordFindings(m_ownerMetrics, {});
     return prometheus::TextSerializer().Serialize(m_metrics->Collect());
@@ -269,7 +288,14 @@
     state["orders"] = {{"direct", relayed.direct},
                        {"carried", relayed.viaRelay},
                        {"abandoned", relayed.abandoned},
-                       {"carriers", m_orderDispatcher->usableRelays()}};
+                       {"carriers", m_orderDispatcher->usableRelays()},
+                       {"payloadsRepeated", relayed.payloadsRepeated},
+                       {"lateReceipts", relayed.lateReceipts}};
+    for (const auto &[call, traffic] : m_peers->traffic())
+        state["peerTraffic"][call] = {{"messagesSent", traffic.messagesSent},
+                                      {"bytesSent", traffic.bytesSent},
+                                      {"messagesReceived", traffic.messagesReceived},
+                                      {"bytesReceived", traffic.bytesReceived}};
     return state;
 }
 
--- a/src/daemon/node_daemon.h
+++ b/src/daemon/node_daemon.h
@@ -112,6 +112,8 @@
     std::shared_ptr<fleet::job_owner> m_owner;
     //! Whether m_owner has loaded its state and is running.
     bool m_ownerServing = false;
+    prometheus::Family<prometheus::Counter> &m_peerBytes;
+    prometheus::Family<prometheus::Counter> &m_peerMessages;
     std::minstd_rand m_random;
     bool m_stopping = false;
 };
--- a/src/relay/order_codec.h
+++ b/src/relay/order_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/worker_api.h"
+#include "relay/list_delta.h"
 
 #include <nlohmann/json.hpp>
 
@@ -28,17 +29,29 @@
     std::uint64_t number = 0;
     jobs::order_target target;
     std::variant<jobs::start_order, stop_order, jobs::poll_order, throttle_order> order;
+    //! For a poll: number of the last poll to this worker through this relay whose list of runs the owner
+    //! has; 0 for none. The response may then contain only what has changed since.
+    std::uint64_t knownList = 0;
+    //! For a start: the payload is left out since this relay has had it with another task of the job.
+    bool payloadOmitted = false;
 };
 
+//! Detail of the response to a start order whose payload was left out and is unknown to the relay. Nothing
+//! was sent to the worker.
+inline constexpr const char *payloadUnknown = "payload unknown";
+
 //! The response to a relayed order. Only that to a poll has running and ended runs.
 struct relayed_response
 {
     std::uint64_t number = 0;
     jobs::poll_response response;
+    //! Instead of response.running: what has changed since the list of the poll \c baseList.
+    std::uint64_t baseList = 0;
+    list_delta delta;
 };
 
 nlohmann::json encodeOrder(const relayed_order &order);
-//! Inverse of encodeOrder(). Throws nlohmann::json::exception or std::invalid_argument if \a in is malformed.
+//! Inverse of encodeOrder(). Throws std::exception if \a in is malformed.
 relayed_order decodeOrder(const nlohmann::json &in);
 nlohmann::json encodeResponse(const relayed_response &response);
 //! Inverse of encodeResponse(). Throws as decodeOrder() does.
--- a/src/relay/order_dispatcher.cpp
+++ b/src/relay/order_dispatcher.cpp
@@ -1,8 +1,10 @@
 #include "relay/order_dispatcher.h"
 
+#include "codec/bounded_json.h"
 #include "observe/log.h"
 #include "relay/relay_calls.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace almond::relay {
@@ -25,6 +27,13 @@
     return result;
 }
 
+//! Number of jobs whose payload is taken as known to a relay; a relay keeps more.
+constexpr std::size_t maximumPayloadsSent = 1000;
+//! Lists of runs that are kept; without one, a response has the whole list.
+constexpr std::size_t maximumLists = 20'000;
+//! Hosts that have not offered themselves for this long are forgotten.
+constexpr milliseconds hostRetention{60'000};
+
 } // namespace
 
 struct order_dispatcher::pending_order
@@ -34,7 +43,7 @@
         , host(std::move(relay))
     {
     }
-    kernel::completion<poll_response> response;
+    kernel::completion<relayed_response> response;
     std::string host;
 };
 
@@ -62,27 +71,46 @@
 
 json order_dispatcher::handleOffer(const json &arguments)
 {
-    relay::recordOffer(m_table, arguments.at("address"), arguments.at("processorShare"),
-                       m_dependencies.clock());
-    removeExpiredHosts();
     json response;
-    response["wanted"]
-        = needsRelays(m_dependencies.rules, m_dependencies.processorShare, m_dependencies.workerCount());
+    response["wanted"] = false;
+    if (codec::integerMember(arguments, "format", 1) != calls::format)
+        return response;
+    const std::string address = arguments.at("address");
+    const time_point now = m_dependencies.clock();
+    relay::recordOffer(m_table, address, arguments.at("processorShare"), now);
+    removeExpiredHosts();
+    const bool needed = isNeeded(address, now);
+    response["wanted"] = needed;
+    const milliseconds next = needed ? m_dependencies.rules.offerInterval
+                                     : idleOfferInterval(m_dependencies.rules, m_table.hosts.size());
+    response["nextOfferMs"] = next.count();
     return response;
 }
 
+bool order_dispatcher::isNeeded(const std::string &address, time_point now) const
+{
+    const std::size_t workers = m_dependencies.workerCount();
+    if (!needsRelays(m_dependencies.rules, m_dependencies.processorShare, workers))
+        return false;
+    const std::vector<std::string> candidates
+        = chooseRelays(m_table, m_dependencies.rules, workers, now, m_dependencies.rules.spareRelays);
+    return std::find(candidates.begin(), candidates.end(), address) != candidates.end();
+}
+
 json order_dispatcher::handleResponses(const json &arguments)
 {
-    try {
-        for (const json &row : arguments.at("answers")) {
+    recordSign(m_table, arguments.value("address", ""), m_dependencies.clock());
+    for (const json &row : arguments.at("answers")) {
+        try {
             relayed_response relayed = decodeResponse(row);
             const auto pending = m_pending.find(relayed.number);
             if (pending != m_pending.end())
-                pending->second->response.complete(std::move(relayed.response));
+                pending->second->response.complete(std::move(relayed));
+        } catch (const std::exception &error) {
+            observe::logLimited(log_level::error,
+                                "failed to decode a relayed response; its order counts as unanswered",
+                                {{"error", error.what()}}, m_dependencies.clock());
         }
-    } catch (const std::invalid_argument &error) {
-        observe::log(log_level::error, "failed to decode a relayed response; its order counts as unanswered",
-                     {{"error", error.what()}});
     }
     return json::object();
 }
@@ -90,14 +118,19 @@
 void order_dispatcher::removeExpiredHosts()
 {
     const time_point now = m_dependencies.clock();
-    for (auto host = m_table.hosts.begin(); host != m_table.hosts.end();) {
-        const bool expired = now - host->second.lastOfferAt > m_dependencies.rules.offerValidity;
-        if (expired) {
-            abandon(host->first);
-            m_relaysChosenAt = time_point{};
-        }
-        host = expired ? m_table.hosts.erase(host) : std::next(host);
+    const auto isExpired = [&](const std::string &address) {
+        const auto host = m_table.hosts.find(address);
+        return host == m_table.hosts.end()
+            || now - host->second.lastHeardAt > m_dependencies.rules.offerValidity;
+    };
+    for (const std::string &relay : m_relays) {
+        if (!isExpired(relay))
+            continue;
+        abandon(relay);
+        m_relaysChosenAt = time_point{};
     }
+    std::erase_if(m_table.hosts,
+                  [now](const auto &entry) { return now - entry.second.lastHeardAt > hostRetention; });
 }
 
 void order_dispatcher::abandon(const std::string &host)
@@ -109,6 +142,7 @@
         pending->response.abandon();
         ++count;
     }
+    m_outboxes[host].orders = json::array();
     m_counters.abandoned += count;
     if (count > 0)
         observe::log(log_level::warning, "lost a relay: its orders count as unanswered",
@@ -131,43 +165,127 @@
     return relay;
 }
 
+std::uint64_t order_dispatcher::knownListOf(const std::string &workerId, const std::string &relay) const
+{
+    const auto known = m_lists.find(workerId);
+    return known == m_lists.end() || known->second.relay != relay ? 0 : known->second.poll;
+}
+
+bool order_dispatcher::completeList(const relayed_order &order, const std::string &relay,
+                                    relayed_response &response)
+{
+    jobs::poll_response &poll = response.response;
+    if (poll.result.outcome != jobs::order_outcome::accepted)
+        return true;
+    if (response.baseList > 0) {
+        const auto known = m_lists.find(order.target.workerId);
+        const bool isKnown = known != m_lists.end() && known->second.relay == relay
+            && known->second.poll == response.baseList;
+        if (!isKnown)
+            return false;
+        try {
+            poll.running = withDelta(std::move(known->second.running), response.delta);
+        } catch (const std::out_of_range &) {
+            m_lists.erase(known);
+            return false;
+        }
+    }
+    if (m_lists.size() >= maximumLists)
+        m_lists.clear();
+    m_lists[order.target.workerId] = {relay, response.number, poll.running};
+    return true;
+}
+
 task<poll_response> order_dispatcher::sendThroughRelay(std::string host, relayed_order order)
 {
     const auto *poll = std::get_if<jobs::poll_order>(&order.order);
-    const milliseconds timeout = m_dependencies.rules.responseTimeout + (poll ? poll->wait : milliseconds(0));
+    outbox &box = m_outboxes[host];
+    // Over a congested link, an order and its response each wait for a batch.
+    const milliseconds timeout = m_dependencies.rules.responseTimeout + (poll ? poll->wait : milliseconds(0))
+        + box.pacing.receiptTime * 4;
     const std::uint64_t number = m_nextNumber++;
     order.number = number;
+    if (poll)
+        order.knownList = knownListOf(order.target.workerId, host);
     const auto pending = std::make_shared<pending_order>(*m_dependencies.context, host);
     m_pending[number] = pending;
-    outbox &box = m_outboxes[host];
     box.orders.push_back(encodeOrder(order));
-    if (!box.flushScheduled) {
-        box.flushScheduled = true;
-        kernel::spawn(m_dependencies.context->get_executor(), flush(host));
+    if (!box.sending) {
+        box.sending = true;
+        kernel::spawn(m_dependencies.context->get_executor(), sendBatches(host));
     }
-    std::optional<poll_response> response = co_await pending->response.wait(timeout);
+    std::optional<relayed_response> response = co_await pending->response.wait(timeout);
     m_pending.erase(number);
-    if (!response) {
-        response.emplace();
-        response->result.detail = "no response through relay " + host;
+    poll_response result;
+    result.result.detail = "no response through relay " + host;
+    if (!response)
+        co_return result;
+    if (poll && !completeList(order, host, *response)) {
+        result.result.detail = "the list of runs is based on an unknown one";
+        co_return result;
     }
-    co_return std::move(*response);
+    co_return std::move(response->response);
 }
 
-task<void> order_dispatcher::flush(std::string host)
+task<order_response> order_dispatcher::startThroughRelay(std::string host, jobs::order_target target,
+                                                         jobs::start_order order)
+{
+    std::set<std::string, std::less<>> &sent = m_outboxes[host].payloadsSent;
+    if (sent.size() >= maximumPayloadsSent)
+        sent.clear();
+    const std::string job = order.task.job;
+    relayed_order relayed = makeRelayedOrder(target, order);
+    relayed.payloadOmitted = !sent.insert(job).second;
+    const bool omitted = relayed.payloadOmitted;
+    const poll_response response = co_await sendThroughRelay(host, std::move(relayed));
+    const bool unknown
+        = response.result.outcome == jobs::order_outcome::notSent && response.result.detail == payloadUnknown;
+    if (!omitted || !unknown)
+        co_return response.result;
+    ++m_counters.payloadsRepeated;
+    sent.insert(job);
+    const poll_response repeated
+        = co_await sendThroughRelay(host, makeRelayedOrder(std::move(target), std::move(order)));
+    co_return repeated.result;
+}
+
+//! Sends what accumulates for \a host, one batch after the other, until nothing is left.
+task<void> order_dispatcher::sendBatches(std::string host)
 {
-    co_await kernel::sleepFor(m_dependencies.rules.batchDelay);
-    json batch;
-    batch["owner"] = m_dependencies.ownAddress;
     outbox &box = m_outboxes[host];
-    batch["orders"] = std::exchange(box.orders, json::array());
-    box.flushScheduled = false;
-    const auto receipt = co_await m_dependencies.peers->call(host, calls::orders, std::move(batch),
-                                                             m_dependencies.rules.receiptTimeout);
-    if (receipt)
-        co_return;
-    suspend(m_table, m_dependencies.rules, host, m_dependencies.clock());
+    while (!box.orders.empty()) {
+        co_await kernel::sleepFor(batchInterval(box.pacing, m_dependencies.rules.pacing));
+        json batch;
+        batch["owner"] = m_dependencies.ownAddress;
+        batch["orders"] = std::exchange(box.orders, json::array());
+        const time_point sentAt = m_dependencies.clock();
+        const milliseconds timeout = receiptTimeout(box.pacing, m_dependencies.rules.pacing);
+        const auto receipt
+            = co_await m_dependencies.peers->call(host, calls::orders, std::move(batch), timeout);
+        if (receipt) {
+            recordReceipt(box.pacing, m_dependencies.clock() - sentAt);
+            recordSign(m_table, host, m_dependencies.clock());
+        } else {
+            handleMissingReceipt(host, sentAt);
+        }
+    }
+    box.sending = false;
+}
+
+//! A host that sent anything since \a sentAt is slow or behind a congested link, not gone: its orders may
+//! still be answered.
+void order_dispatcher::handleMissingReceipt(const std::string &host, time_point sentAt)
+{
+    const time_point now = m_dependencies.clock();
+    recordMissingReceipt(m_outboxes[host].pacing, now - sentAt);
+    const auto known = m_table.hosts.find(host);
+    if (known != m_table.hosts.end() && known->second.lastHeardAt > sentAt) {
+        ++m_counters.lateReceipts;
+        return;
+    }
+    suspend(m_table, m_dependencies.rules, host, now);
     m_relaysChosenAt = time_point{};
+    m_outboxes[host].payloadsSent.clear();
     abandon(host);
 }
 
@@ -178,9 +296,7 @@
         const std::string host = relayForOrder(target);
         if (host.empty())
             co_return co_await m_dependencies.direct.start(std::move(target), std::move(order));
-        const poll_response response
-            = co_await sendThroughRelay(host, makeRelayedOrder(std::move(target), std::move(order)));
-        co_return response.result;
+        co_return co_await startThroughRelay(host, std::move(target), std::move(order));
     };
     port.stop
         = [this](jobs::order_target target, jobs::task_name name, std::uint32_t run) -> task<order_response> {
--- a/src/relay/order_dispatcher.h
+++ b/src/relay/order_dispatcher.h
@@ -9,7 +9,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace almond::relay {
 
@@ -21,6 +23,10 @@
     std::uint64_t viaRelay = 0;
     //! Relayed orders whose relay was lost before their response.
     std::uint64_t abandoned = 0;
+    //! Start orders that were sent again with their payload.
+    std::uint64_t payloadsRepeated = 0;
+    //! Batches whose receipt was late, from a relay that sent other messages meanwhile.
+    std::uint64_t lateReceipts = 0;
 };
 
 //! What an order_dispatcher needs from its process.
@@ -40,7 +46,8 @@
 };
 
 //! Owner side: sends orders to workers directly or through relays, hosts that have offered to forward them,
-//! many in one message. If a relay is lost, the outcome of its orders is unknown, as for any order without a
+//! many in one message. A relay gets the payload of a job once, and returns what has changed in a worker's
+//! list of runs. If a relay is lost, the outcome of its orders is unknown, as for any order without a
 //! response; the next order to the same worker goes directly or through another relay.
 class order_dispatcher
 {
@@ -57,16 +64,35 @@
 private:
     struct pending_order;
     using pending_ptr = std::shared_ptr<pending_order>;
+    //! What is sent to one relay.
     struct outbox
     {
         nlohmann::json orders = nlohmann::json::array();
-        bool flushScheduled = false;
+        bool sending = false;
+        batch_pacing pacing;
+        //! Jobs whose payload the relay has been sent.
+        std::set<std::string, std::less<>> payloadsSent;
+    };
+    //! The last list of runs of a worker, and the poll with which it came.
+    struct known_list
+    {
+        std::string relay;
+        std::uint64_t poll = 0;
+        std::vector<jobs::running_report> running;
     };
 
     //! The relay for an order to \a target; empty if it is sent directly. Counts the order.
     std::string relayForOrder(const jobs::order_target &target);
     kernel::task<jobs::poll_response> sendThroughRelay(std::string host, relayed_order order);
-    kernel::task<void> flush(std::string host);
+    kernel::task<jobs::order_response> startThroughRelay(std::string host, jobs::order_target target,
+                                                         jobs::start_order order);
+    kernel::task<void> sendBatches(std::string host);
+    void handleMissingReceipt(const std::string &host, time_point sentAt);
+    //! Completes the list of runs in \a response from the one that it is based on. Returns false if that one
+    //! is not known here.
+    bool completeList(const relayed_order &order, const std::string &relay, relayed_response &response);
+    std::uint64_t knownListOf(const std::string &workerId, const std::string &relay) const;
+    bool isNeeded(const std::string &address, time_point now) const;
     nlohmann::json handleResponses(const nlohmann::json &arguments);
     nlohmann::json handleOffer(const nlohmann::json &arguments);
     void removeExpiredHosts();
@@ -78,6 +104,7 @@
     std::vector<std::string> m_relays;
     time_point m_relaysChosenAt{};
     std::map<std::string, outbox> m_outboxes;
+    std::map<std::string, known_list> m_lists; // by worker id
     std::map<std::uint64_t, pending_ptr> m_pending;
     std::uint64_t m_nextNumber;
     relay_counters m_counters;
--- a/src/relay/order_relay.h
+++ b/src/relay/order_relay.h
@@ -5,9 +5,11 @@
 #include "relay/relay_table.h"
 #include "wire/peer_link.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace almond::relay {
 
@@ -44,16 +46,31 @@
     nlohmann::json handleOrders(const nlohmann::json &arguments);
     kernel::task<void> executeOrder(std::string owner, relayed_order order);
     void queueResponse(const std::string &owner, const relayed_response &response);
-    kernel::task<void> flush(std::string owner);
+    kernel::task<void> sendBatches(std::string owner);
+    kernel::task<jobs::order_response> startRun(relayed_order &order);
+    //! Replaces the list of runs in \a relayed by what has changed since the one that the owner knows.
+    void shortenList(const relayed_order &order, relayed_response &relayed);
+    void keepPayload(const std::string &job, const std::string &payload);
 
     struct outbox
     {
         nlohmann::json responses = nlohmann::json::array();
-        bool flushScheduled = false;
+        bool sending = false;
+        batch_pacing pacing;
+    };
+    //! The last list of a worker's runs that was returned to an owner, in the owner's order.
+    struct returned_list
+    {
+        std::uint64_t poll = 0;
+        std::vector<jobs::running_report> running;
     };
 
     order_relay_dependencies m_dependencies;
     std::map<std::string, outbox> m_outboxes; // by the owner's address
+    std::map<std::string, returned_list> m_lists; // by worker id
+    std::map<std::string, std::string> m_payloads; // by job
+    //! The jobs of m_payloads, oldest first.
+    std::deque<std::string> m_payloadOrder;
     bool m_stopping = false;
 };
 
--- a/src/relay/relay_calls.h
+++ b/src/relay/relay_calls.h
@@ -3,11 +3,16 @@
 //! Names of the calls between the owner and its relays.
 namespace almond::relay::calls {
 
-//! From a host to the owner: {"address", "processorShare"}; the response is {"wanted"}.
+//! Format of the orders and responses. An owner takes no offer of a host with another one, and the calls of
+//! another format have other names: during an update orders between the two go directly.
+inline constexpr int format = 2;
+
+//! From a host to the owner: {"address", "processorShare", "format"}; the response is {"wanted",
+//! "nextOfferMs"}.
 inline constexpr const char *offer = "relay.offer";
 //! From the owner to a relay: {"owner", "orders"}; the immediate response only confirms receipt.
-inline constexpr const char *orders = "relay.orders";
-//! From a relay to the owner: {"answers"}; the immediate response only confirms receipt.
-inline constexpr const char *responses = "relay.answers";
+inline constexpr const char *orders = "relay.orders.2";
+//! From a relay to the owner: {"address", "answers"}; the immediate response only confirms receipt.
+inline constexpr const char *responses = "relay.answers.2";
 
 } // namespace almond::relay::calls
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -17,7 +17,14 @@
 {
     relay_host &host = table.hosts[address];
     host.processorShare = processorShare;
-    host.lastOfferAt = now;
+    host.lastHeardAt = now;
+}
+
+void recordSign(relay_table &table, const std::string &address, time_point now)
+{
+    const auto host = table.hosts.find(address);
+    if (host != table.hosts.end())
+        host->second.lastHeardAt = now;
 }
 
 void suspend(relay_table &table, const relay_rules &rules, const std::string &address, time_point now)
@@ -29,7 +36,7 @@
 
 bool isUsable(const relay_host &host, const relay_rules &rules, time_point now)
 {
-    return now - host.lastOfferAt <= rules.offerValidity && now >= host.suspendedUntil;
+    return now - host.lastHeardAt <= rules.offerValidity && now >= host.suspendedUntil;
 }
 
 bool needsRelays(const relay_rules &rules, double processorShare, std::size_t workers)
@@ -38,7 +45,7 @@
 }
 
 std::vector<std::string> chooseRelays(const relay_table &table, const relay_rules &rules, std::size_t workers,
-                                      time_point now)
+                                      time_point now, std::size_t spares)
 {
     std::vector<std::pair<double, std::string>> usable;
     for (const auto &[address, host] : table.hosts) {
@@ -49,7 +56,7 @@
     std::vector<std::string> relays;
     double served = 0.0;
     for (const auto &[negativeShare, address] : usable) {
-        if (served >= static_cast<double>(workers))
+        if (served >= static_cast<double>(workers) && spares-- == 0)
             break;
         served -= negativeShare * rules.workersPerCore;
         relays.push_back(address);
@@ -57,6 +64,12 @@
     return relays;
 }
 
+milliseconds idleOfferInterval(const relay_rules &rules, std::size_t hosts)
+{
+    const milliseconds shared(1000 * hosts / rules.idleOffersPerSecond);
+    return std::clamp(shared, rules.idleOfferInterval, rules.longestOfferInterval);
+}
+
 std::string_view relayFor(std::span<const std::string> relays, std::string_view worker)
 {
     std::string_view best;
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -21,6 +21,12 @@
     return {bytes.begin(), bytes.end()};
 }
 
+void countSent(call_traffic &traffic, std::size_t bytes)
+{
+    ++traffic.messagesSent;
+    traffic.bytesSent += bytes;
+}
+
 //! Whether \a message has the members of a call or of a response, each of its type.
 bool isWellFormed(const json &message)
 {
@@ -36,16 +42,19 @@
 
 struct peer_link::pending_call
 {
-    pending_call(asio::io_context &context, connection_id id, std::uint64_t received)
+    pending_call(asio::io_context &context, connection_id id, std::uint64_t received, call_traffic &counted)
         : response(context.get_executor())
         , connectionId(id)
         , receivedBefore(received)
+        , traffic(counted)
     {
     }
     kernel::completion<json> response;
     connection_id connectionId;
     //! Messages that had been received on the connection when the call was made.
     std::uint64_t receivedBefore;
+    //! Traffic of all calls of this name.
+    call_traffic &traffic;
 };
 
 struct peer_link::connection
@@ -105,10 +114,11 @@
         co_return std::nullopt;
     const std::uint64_t number = m_nextCall++;
     connection &conn = connectionTo(peer);
-    auto pending = std::make_shared<pending_call>(m_context, conn.id, conn.receivedMessages);
+    auto pending = std::make_shared<pending_call>(m_context, conn.id, conn.receivedMessages, m_traffic[name]);
     m_pending[number] = pending;
     ++conn.pendingCalls;
     std::string bytes = encode({{"call", number}, {"method", name}, {"arguments", std::move(arguments)}});
+    countSent(pending->traffic, bytes.size());
     if (conn.open)
         m_endpoint->send(conn.id, bytes);
     else
@@ -182,7 +192,7 @@
     }
     json message = std::move(*parsed);
     if (message.contains("method")) {
-        kernel::spawn(m_context.get_executor(), handleCall(id, std::move(message)));
+        kernel::spawn(m_context.get_executor(), handleCall(id, std::move(message), bytes.size()));
         return;
     }
     const auto conn = m_outgoing.find(id);
@@ -191,10 +201,12 @@
     const auto found = m_pending.find(message["call"].get<std::uint64_t>());
     if (found == m_pending.end())
         return;
+    ++found->second->traffic.messagesReceived;
+    found->second->traffic.bytesReceived += bytes.size();
     found->second->response.complete(std::move(message["result"]));
 }
 
-task<void> peer_link::handleCall(connection_id id, json message)
+task<void> peer_link::handleCall(connection_id id, json message, std::size_t bytes)
 {
     const auto found = m_methods.find(message["method"].get_ref<const std::string &>());
     if (found == m_methods.end()) {
@@ -202,9 +214,14 @@
                             {{"method", message["method"]}}, kernel::monotonicNow());
         co_return;
     }
+    call_traffic &traffic = m_traffic[found->first];
+    ++traffic.messagesReceived;
+    traffic.bytesReceived += bytes;
     try {
         json result = co_await found->second(message["arguments"]);
-        m_endpoint->send(id, encode({{"call", message["call"]}, {"result", std::move(result)}}));
+        const std::string response = encode({{"call", message["call"]}, {"result", std::move(result)}});
+        countSent(traffic, response.size());
+        m_endpoint->send(id, response);
     } catch (const std::exception &error) {
         ++m_failedCalls;
         observe::logLimited(
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -20,6 +20,15 @@
 //! Handles one call from a peer and returns its result.
 using method = std::function<kernel::task<json>(json arguments)>;
 
+//! Messages and bytes of one kind of call.
+struct call_traffic
+{
+    std::uint64_t messagesSent = 0;
+    std::uint64_t bytesSent = 0;
+    std::uint64_t messagesReceived = 0;
+    std::uint64_t bytesReceived = 0;
+};
+
 //! Remote procedure calls between the processes of this system: CBOR messages over WebSocket. All calls to a
 //! peer share one connection; a new one replaces it when it closes or no longer responds.
 class peer_link
@@ -39,6 +48,9 @@
     //! Stops accepting connections.
     void stop();
 
+    //! Traffic since the start by the name of the call; responses count for their call.
+    const std::map<std::string, call_traffic> &traffic() const { return m_traffic; }
+
 private:
     struct pending_call;
     struct connection;
@@ -49,7 +61,7 @@
     void onOpened(connection_id id);
     void onReceived(connection_id id, const std::string &bytes);
     void onClosed(connection_id id);
-    kernel::task<void> handleCall(connection_id id, json message);
+    kernel::task<void> handleCall(connection_id id, json message, std::size_t bytes);
 
     boost::asio::io_context &m_context;
     std::unique_ptr<websocket_endpoint> m_endpoint;
@@ -59,6 +71,7 @@
     //! Connections that this process opened.
     std::map<connection_id, connection> m_outgoing;
     std::map<std::uint64_t, std::shared_ptr<pending_call>> m_pending;
+    std::map<std::string, call_traffic> m_traffic;
     std::uint64_t m_nextCall = 1;
     std::uint64_t m_malformedMessages = 0;
     //! Calls of peers whose handler threw.
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -213,7 +213,7 @@
     ASSERT_TRUE(runUntil([&] { return dispatcher->usableRelays() == 1; }));
     orderRelay->stop();
     // The relay accepts the connection but never handles the order.
-    relayPeers.provide("relay.orders", [](wire::json) -> task<wire::json> {
+    relayPeers.provide("relay.orders.2", [](wire::json) -> task<wire::json> {
         co_await kernel::sleepFor(kernel::milliseconds(5000));
         co_return wire::json::object();
     });
