--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -118,8 +118,10 @@
 {
     batch next;
     applyQueuedRecords(next, now);
-    for (const auto &[incarnation, worker] : m_workers)
-        next.endNumbers[incarnation] = worker->session.endsRead;
+    for (const auto &[incarnation, worker] : m_workers) {
+        if (worker->session.endsRead > worker->session.endsDurable)
+            next.endNumbers[incarnation] = worker->session.endsRead;
+    }
     const jobs::fleet_config_ptr config = effectiveConfig();
     jobs::openDueOccurrences(m_jobTable, m_dependencies.unixClock());
     if (mayStart(now) && !m_jobTable.jobsWithWaitingTasks.empty()) {
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -231,6 +231,7 @@
     void updateTimings(const std::vector<jobs::journal_record> &records, time_point now);
     bool handleStartResponse(managed_worker &worker, const jobs::journal_record &record,
                              const jobs::order_response &response, const start_attempt &attempt);
+    std::string startObstacle(const managed_worker &worker, time_point now) const;
     void recordNotStarted(managed_worker &worker, const jobs::journal_record &record,
                           const std::string &reason);
     void queueRecords(std::vector<jobs::journal_record> records);
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -290,6 +290,20 @@
     return true;
 }
 
+//! Why nothing may be started on \a worker at \a now; empty if it may. What was planned is checked again
+//! before each order: writing it to the journal may have taken seconds.
+std::string job_owner::startObstacle(const managed_worker &worker, time_point now) const
+{
+    const jobs::worker_session &session = worker.session;
+    if (!session.listed || session.info.leaving)
+        return "the worker leaves";
+    if (m_dependencies.config()->withdrawnDomains.contains(session.info.failureDomain))
+        return "the failure domain of the worker is withdrawn";
+    if (!mayStart(now))
+        return "the configuration or the list of workers may be outdated";
+    return m_dependencies.mayRenew() ? "" : "another owner may have been elected";
+}
+
 task<void> job_owner::startTask(self_ptr self, managed_worker_ptr worker, journal_record record)
 {
     start_attempt attempt;
@@ -298,12 +312,16 @@
             break;
         const auto job = m_jobTable.jobs.find(record.task.job);
         const bool wanted = !jobs::isFinal(job->second.status);
-        const bool exhausted = attempt.number > m_dependencies.rules.startAttempts;
-        if (!attempt.mayHaveArrived && (!wanted || exhausted)) {
-            recordNotStarted(*worker, record, wanted ? "the worker can't be reached" : "the job has ended");
+        std::string obstacle = startObstacle(*worker, m_dependencies.clock());
+        if (attempt.number > m_dependencies.rules.startAttempts)
+            obstacle = "the worker can't be reached";
+        if (!wanted)
+            obstacle = "the job has ended";
+        if (!attempt.mayHaveArrived && !obstacle.empty()) {
+            recordNotStarted(*worker, record, obstacle);
             co_return;
         }
-        if (attempt.mayHaveArrived && (!wanted || exhausted)) {
+        if (attempt.mayHaveArrived && !obstacle.empty()) {
             // If the start order arrives after the stop order, the worker refuses it.
             co_await stopRun(self, worker, record.task, record.run);
             break;
