--- a/src/codec/bounded_json.cpp
+++ b/src/codec/bounded_json.cpp
@@ -29,36 +29,34 @@
     return deepest;
 }
 
-//! Receives the events of a parser and stops it at a value that is nested too deeply.
-class nesting_check : public json::json_sax_t
+//! Builds a document from the events of a parser and stops at a value that is nested too deeply.
+class bounded_builder : public nlohmann::detail::json_sax_dom_parser<json>
 {
 public:
-    bool null() override { return true; }
-    bool boolean(bool /*value*/) override { return true; }
-    bool number_integer(number_integer_t /*value*/) override { return true; }
-    bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
-    bool number_float(number_float_t /*value*/, const string_t & /*text*/) override { return true; }
-    bool string(string_t & /*value*/) override { return true; }
-    bool binary(binary_t & /*value*/) override { return true; }
-    bool start_object(std::size_t /*elements*/) override { return enter(); }
-    bool key(string_t & /*value*/) override { return true; }
-    bool end_object() override { return leave(); }
-    bool start_array(std::size_t /*elements*/) override { return enter(); }
-    bool end_array() override { return leave(); }
-    bool parse_error(std::size_t /*position*/, const std::string & /*token*/,
-                     const json::exception & /*error*/) override
+    explicit bounded_builder(json &result)
+        : json_sax_dom_parser(result, false)
     {
-        return false;
     }
-
-private:
-    bool enter() { return ++m_depth <= maximumNesting; }
-    bool leave()
+    bool start_object(std::size_t elements)
+    {
+        return ++m_depth <= maximumNesting && json_sax_dom_parser::start_object(elements);
+    }
+    bool end_object()
     {
         --m_depth;
-        return true;
+        return json_sax_dom_parser::end_object();
+    }
+    bool start_array(std::size_t elements)
+    {
+        return ++m_depth <= maximumNesting && json_sax_dom_parser::start_array(elements);
+    }
+    bool end_array()
+    {
+        --m_depth;
+        return json_sax_dom_parser::end_array();
     }
 
+private:
     int m_depth = 0;
 };
 
@@ -78,10 +76,16 @@
 
 std::optional<json> parseCbor(std::string_view bytes)
 {
-    nesting_check check;
-    if (!json::sax_parse(bytes, &check, json::input_format_t::cbor))
+    json parsed;
+    bounded_builder builder(parsed);
+    try {
+        if (!json::sax_parse(bytes, &builder, json::input_format_t::cbor))
+            return std::nullopt;
+    } catch (const json::exception &) {
+        // An array or object that claims more elements than can exist.
         return std::nullopt;
-    return unlessDiscarded(json::from_cbor(bytes, true, false));
+    }
+    return unlessDiscarded(std::move(parsed));
 }
 
 } // namespace almond::codec
--- a/tests/unit/candidate_ranking_test.cpp
+++ b/tests/unit/candidate_ranking_test.cpp
@@ -16,7 +16,7 @@
     const jobs::image_number serving = jobs::numberOf(model, "serving");
     for (int number = 0; number < 12; ++number) {
         jobs::candidate worker = jobs::makeCandidate(
-            tests::worker("w" + std::to_string(number), tests::draw(1, 4) * 8000), nullptr);
+            tests::worker("w" + std::to_string(number), tests::draw<std::int64_t>(1, 4) * 8000), nullptr);
         if (tests::draw(0, 1) == 1)
             worker.serving.push_back({serving, tests::draw(0, 20) / 10.0});
         worker.reserved = tests::draw(0, 5) == 0;
@@ -27,7 +27,7 @@
 
 jobs::step_spec drawStep()
 {
-    jobs::step_spec step = tests::step(20, tests::draw(1, 8) * 1000);
+    jobs::step_spec step = tests::step(20, tests::draw<std::int64_t>(1, 8) * 1000);
     step.bestEffort = tests::draw(0, 1) == 1;
     step.image = "image";
     step.perWorkerLimit = static_cast<std::uint32_t>(tests::draw(0, 3));
--- a/tests/unit/congested_link_test.cpp
+++ b/tests/unit/congested_link_test.cpp
@@ -13,7 +13,9 @@
 using kernel::milliseconds;
 using kernel::time_point;
 
-constexpr std::size_t relays = 5;
+constexpr std::int64_t relays = 5;
+//! Each worker has one poll under way, so that what waits at a relay is bounded.
+constexpr std::int64_t mostWaitingBytes = 28LL * 400;
 constexpr std::int64_t bytesPerMs = 250;
 constexpr std::int64_t batchOverhead = 100;
 
@@ -79,11 +81,10 @@
     milliseconds recoveredAt{0};
     for (milliseconds time{0}; time < milliseconds(30'000); ++time) {
         const time_point now = kernel::fromMillis(time.count());
-        // Each worker has one poll under way, so that what waits is bounded: 140 responses of 400 bytes.
         const std::int64_t offered = static_cast<std::int64_t>(loadAt(time) * bytesPerMs) / relays;
-        for (std::size_t number = 0; number < relays; ++number) {
+        for (std::size_t number = 0; number < hosts.size(); ++number) {
             relay_state &host = hosts[number];
-            host.waitingBytes = std::min<std::int64_t>(host.waitingBytes + offered, 28 * 400);
+            host.waitingBytes = std::min<std::int64_t>(host.waitingBytes + offered, mostWaitingBytes);
             if (host.underWay || host.waitingBytes == 0 || now < host.nextAt)
                 continue;
             link.send(number, host.waitingBytes + batchOverhead);
@@ -114,7 +115,7 @@
             recoveredAt = time;
     }
     // What is under way doesn't grow with the time that the overload lasts.
-    EXPECT_LE(mostUnderWay, relays);
+    EXPECT_LE(mostUnderWay, hosts.size());
     // Unpaced, a batch every 10 ms from each relay: 2,500 in 5 s.
     EXPECT_LT(batchesInOverload, 500U);
     EXPECT_GT(recoveredAt, milliseconds(5000));
--- a/tests/unit/history_in_parts_test.cpp
+++ b/tests/unit/history_in_parts_test.cpp
@@ -114,4 +114,38 @@
     EXPECT_TRUE(watcher.isListed()) << "after " << store.calls << " calls for " << pages << " pages";
 }
 
+store::journal_entry largeEntry()
+{
+    store::journal_entry entry;
+    entry.index = 7;
+    entry.writer = "writer";
+    entry.submission = "writer/7";
+    entry.body = nlohmann::json::array();
+    for (int task = 0; task < 100; ++task)
+        entry.body.push_back(
+            {"started", "00000000000000aa.0.0." + std::to_string(task), 1, "i-7af31c@1789144138331"});
+    return entry;
+}
+
+//! A new owner reads all entries, possibly over a slow link.
+TEST(HistoryInParts, LargeEntryTakesAFractionOfItsText)
+{
+    const store::journal_entry entry = largeEntry();
+    const std::string value = store::encodeCompactEntry(entry);
+    EXPECT_LT(value.size() * 4, store::encodeEntry(entry).size());
+    const std::optional<store::journal_entry> back = store::decodeEntry(entry.index, value);
+    ASSERT_TRUE(back);
+    EXPECT_EQ(back->submission, entry.submission);
+    EXPECT_EQ(back->body, entry.body);
+}
+
+TEST(HistoryInParts, DamagedCompressedEntryIsNoEntry)
+{
+    const std::string value = store::encodeCompactEntry(largeEntry());
+    for (const std::string &damaged :
+         {value.substr(0, 1), value.substr(0, 4), value.substr(0, value.size() / 2),
+          std::string("\x01\xff\xff\xff\xff"), std::string("\x01\x7f\xff\xff\xff") + value.substr(5)})
+        EXPECT_FALSE(store::decodeEntry(7, damaged));
+}
+
 } // namespace
