Count a connection that can't be opened as a call without a response

Cause: an exception from opening a connection escaped from call(), and would leave the batches to that host marked as being sent for good. Found in reading; no run shows it.

--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -113,7 +113,16 @@
     if (!http::isPeerAddress(peer))
         co_return std::nullopt;
     const std::uint64_t number = m_nextCall++;
-    connection &conn = connectionTo(peer);
+    connection *opened = nullptr;
+    try {
+        opened = &connectionTo(peer);
+    } catch (const std::exception &error) {
+        observe::logLimited(observe::log_level::warning, "can't connect to a peer",
+                            {{"peer", peer}, {"error", error.what()}}, kernel::monotonicNow());
+    }
+    if (!opened)
+        co_return std::nullopt;
+    connection &conn = *opened;
     auto pending = std::make_shared<pending_call>(m_context, conn.id, conn.receivedMessages, m_traffic[name]);
     m_pending[number] = pending;
     ++conn.pendingCalls;
