Serve what has reached a server that stops

A server that drained closed its listening socket with connections still in the listen queue, which the kernel resets; it cancelled the wait on an idle connection although a request had arrived there; and a gateway told its callers to close their connections only from the moment on which it closed them itself.

Change: connections in the listen queue are accepted before the socket closes and may send one request; a wait that is cancelled looks once more for bytes that have arrived; a gateway asks with each reply, from the moment on which it fails /ready, to close the connection.

Ruled out: a limit of connections (counters of the scenario show none refused). Not closed: a request sent in the microseconds between the last look and the close; HTTP/1.1 has no way to refuse it.

Before: server_drain_test fails in all four cases on the old code.

--- a/src/daemon/gateway_daemon.cpp
+++ b/src/daemon/gateway_daemon.cpp
@@ -175,6 +175,7 @@
     m_ready = false;
     if (!m_server)
         co_return;
+    m_server->announceClosing();
     co_await kernel::sleepFor(balancerDetectionTime);
     co_await m_server->drain(m_settings.drainLimit);
     observe::log(observe::log_level::info, "gateway stopped");
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -20,6 +20,8 @@
 
 constexpr kernel::milliseconds drainPollInterval{5};
 constexpr kernel::milliseconds acceptRetryInterval{50};
+//! How long a draining server waits for the first request of a connection.
+constexpr kernel::milliseconds firstRequestGrace{1000};
 
 auto redirectTo(error_code &error)
 {
@@ -82,17 +84,35 @@
             co_await kernel::sleepFor(acceptRetryInterval);
             continue;
         }
-        ++m_counters.accepted;
-        if (m_sessions.size() >= m_limits.connections) {
-            ++m_counters.refusedConnections;
-            continue;
-        }
-        socket.set_option(asio::ip::tcp::no_delay(true), error);
-        auto client = std::make_shared<session>(session{stream(std::move(socket)), {}, false});
-        kernel::spawn(m_context.get_executor(), serve(std::move(client)));
+        startSession(std::move(socket));
     }
 }
 
+void server::startSession(asio::ip::tcp::socket socket)
+{
+    ++m_counters.accepted;
+    if (m_sessions.size() >= m_limits.connections) {
+        ++m_counters.refusedConnections;
+        return;
+    }
+    error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    auto client = std::make_shared<session>(session{stream(std::move(socket)), {}, false, false});
+    kernel::spawn(m_context.get_executor(), serve(std::move(client)));
+}
+
+void server::closeAcceptor()
+{
+    error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket = m_acceptor.accept(error);
+        if (!error)
+            startSession(std::move(socket));
+    }
+    m_acceptor.close(error);
+}
+
 task<void> server::serve(std::shared_ptr<session> client)
 {
     const auto position = m_sessions.insert(m_sessions.end(), client);
@@ -104,7 +124,7 @@
 
 task<void> server::serveRequests(session &client)
 {
-    while (!m_draining) {
+    while (true) {
         request message;
         const read_outcome received = co_await readRequest(client, message);
         if (received != read_outcome::complete)
@@ -121,11 +141,26 @@
         const bool keepOpen = co_await sendReply(client, std::move(answer), requestHeader);
         --m_inFlight;
         client.busy = false;
+        client.served = true;
         if (!keepOpen)
             co_return;
     }
 }
 
+task<bool> server::receiveFirstBytes(session &client)
+{
+    auto freeBuffer = client.buffer.prepare(m_limits.headerBytes);
+    error_code error;
+    client.tcpStream.expires_after(m_limits.idleTimeout);
+    std::size_t received = co_await client.tcpStream.async_read_some(freeBuffer, redirectTo(error));
+    error_code ignored;
+    // A request may have arrived before closeIdle() cancelled the wait for it.
+    if (error == asio::error::operation_aborted && client.tcpStream.socket().available(ignored) > 0)
+        received = co_await client.tcpStream.async_read_some(freeBuffer, redirectTo(error));
+    client.buffer.commit(received);
+    co_return !error;
+}
+
 task<server::read_outcome> server::readRequest(session &client, request &message)
 {
     beast::http::request_parser<beast::http::string_body> parser;
@@ -133,11 +168,8 @@
     parser.body_limit(m_limits.bodyBytes);
     error_code error;
     if (client.buffer.size() == 0) {
-        client.tcpStream.expires_after(m_limits.idleTimeout);
-        auto freeBuffer = client.buffer.prepare(m_limits.headerBytes);
-        const std::size_t received = co_await client.tcpStream.async_read_some(freeBuffer, redirectTo(error));
-        client.buffer.commit(received);
-        if (error)
+        const bool arrived = co_await receiveFirstBytes(client);
+        if (!arrived)
             co_return read_outcome::closed;
     }
     client.busy = true;
@@ -190,7 +222,7 @@
         co_return false;
     response &message = answer.message;
     message.version(requestHeader.version());
-    message.keep_alive(requestHeader.keep_alive() && !m_draining);
+    message.keep_alive(requestHeader.keep_alive() && !m_closing);
     message.prepare_payload();
     if (answer.action == reply_action::truncate)
         message.body().resize(message.body().size() / 2);
@@ -204,25 +236,29 @@
     co_return !error && message.keep_alive() && answer.action == reply_action::send;
 }
 
-void server::closeIdle()
+void server::closeIdle(bool beforeFirstRequest)
 {
     for (const auto &entry : m_sessions) {
         const auto client = entry.lock();
-        if (client && !client->busy)
+        if (client && !client->busy && (client->served || beforeFirstRequest))
             client->tcpStream.cancel();
     }
 }
 
+void server::announceClosing()
+{
+    m_closing = true;
+}
+
 task<void> server::drain(kernel::milliseconds limit)
 {
-    m_draining = true;
-    error_code ignored;
-    m_acceptor.close(ignored);
-    closeIdle();
-    const auto deadline = kernel::systemNow() + limit;
-    while (!m_sessions.empty() && kernel::systemNow() < deadline) {
+    announceClosing();
+    closeAcceptor();
+    const auto startedAt = kernel::monotonicNow();
+    closeIdle(false);
+    while (!m_sessions.empty() && kernel::monotonicNow() < startedAt + limit) {
         co_await kernel::sleepFor(drainPollInterval);
-        closeIdle();
+        closeIdle(kernel::monotonicNow() >= startedAt + firstRequestGrace);
     }
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -58,8 +58,13 @@
     void listen(const std::string &address);
     std::uint16_t port() const;
 
-    //! Stops accepting connections, completes the requests in flight and closes each connection when it is
-    //! idle. Returns when all are closed or after \a limit.
+    //! Asks the clients, with each reply from now on, to close their connections. New connections are still
+    //! accepted.
+    void announceClosing();
+
+    //! Stops accepting connections, serves the requests that have arrived and closes each connection when it
+    //! is idle. Connections that were waiting to be accepted may still send one request. Returns when all
+    //! are closed or after \a limit.
     kernel::task<void> drain(kernel::milliseconds limit);
 
     std::size_t requestsInFlight() const { return m_inFlight; }
@@ -73,16 +78,22 @@
         stream tcpStream;
         boost::beast::flat_buffer buffer;
         bool busy = false;
+        //! Has had a reply.
+        bool served = false;
     };
     enum class read_outcome { complete, closed, rejected };
 
     kernel::task<void> acceptLoop();
+    void startSession(boost::asio::ip::tcp::socket socket);
+    //! Starts sessions for the connections in the listen queue: the kernel resets those that are left in it.
+    void closeAcceptor();
     kernel::task<void> serve(std::shared_ptr<session> client);
     kernel::task<void> serveRequests(session &client);
+    kernel::task<bool> receiveFirstBytes(session &client);
     kernel::task<read_outcome> readRequest(session &client, request &message);
     kernel::task<void> reject(session &client, boost::system::error_code error);
     kernel::task<bool> sendReply(session &client, reply answer, const request &requestHeader);
-    void closeIdle();
+    void closeIdle(bool beforeFirstRequest);
 
     boost::asio::io_context &m_context;
     server_limits m_limits;
@@ -90,7 +101,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::list<std::weak_ptr<session>> m_sessions;
     std::size_t m_inFlight = 0;
-    bool m_draining = false;
+    bool m_closing = false;
     server_counters m_counters;
 };
 
