Let the response to a start settle only its own run

Its second run was planned on the same worker, and then the late response to the first start removed the entry for the start under way, which had only the task's name. The next poll, sent before the worker had the second run, showed neither, so that run counted as lost: its failure was ignored and a third run started after two permitted attempts. A task that runs on would have been started twice.

Change: the start under way and the accepted run belong to a run number; a response of an earlier run changes neither.

Before: late_start_response_test fails in both cases (a third run) on the old code, after: passes.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -132,7 +132,7 @@
                 continue;
             // Until the outcome of the start order is known, a worker that does not report the run has not
             // lost it.
-            m_workers.at(record.worker)->session.pendingStarts[record.task] = record.run;
+            jobs::recordPendingStart(m_workers.at(record.worker)->session, record.task, record.run);
             next.records.push_back(std::move(record));
         }
     }
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -238,7 +238,7 @@
                                  const std::string &reason)
 {
     ++m_counters.startsRefused;
-    worker.session.pendingStarts.erase(record.task);
+    jobs::recordStartSettled(worker.session, record.task, record.run);
     observe::log(log_level::info, "task not started",
                  {{"task", jobs::formatTask(record.task)},
                   {"run", record.run},
@@ -264,8 +264,8 @@
         || (response.outcome == order_outcome::refused && response.refusal == order_refusal::obsolete);
     if (runExists) {
         ++m_counters.starts;
-        worker.session.acceptedRuns[record.task] = {record.run, now};
-        worker.session.pendingStarts.erase(record.task);
+        jobs::recordAcceptedRun(worker.session, record.task, record.run, now);
+        jobs::recordStartSettled(worker.session, record.task, record.run);
         worker.signal.wake();
         return true;
     }
@@ -343,7 +343,7 @@
             break;
         co_await kernel::sleepFor(m_dependencies.rules.retryDelay);
     }
-    worker->session.pendingStarts.erase(record.task);
+    jobs::recordStartSettled(worker->session, record.task, record.run);
     const auto job = m_jobTable.jobs.find(record.task.job);
     const bool unwanted = job == m_jobTable.jobs.end() || jobs::isFinal(job->second.status);
     if (unwanted && !m_resigned && jobs::assignedRun(m_jobTable, record.worker, record.task) == record.run)
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -43,6 +43,26 @@
 
 } // namespace
 
+void recordPendingStart(worker_session &session, const task_name &task, std::uint32_t run)
+{
+    session.pendingStarts[task] = run;
+}
+
+void recordStartSettled(worker_session &session, const task_name &task, std::uint32_t run)
+{
+    // The run may have ended, and been followed by another one, before the response to its start order came.
+    const auto pending = session.pendingStarts.find(task);
+    if (pending != session.pendingStarts.end() && pending->second <= run)
+        session.pendingStarts.erase(pending);
+}
+
+void recordAcceptedRun(worker_session &session, const task_name &task, std::uint32_t run, time_point now)
+{
+    auto &accepted = session.acceptedRuns[task];
+    if (accepted.first <= run)
+        accepted = {run, now};
+}
+
 worker_session openSession(const worker_info &worker, time_point inheritedLeaseUntil)
 {
     worker_session session;
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -62,6 +62,14 @@
     std::vector<running_report> running;
 };
 
+//! Records that a start order for the run is about to be sent.
+void recordPendingStart(worker_session &session, const task_name &task, std::uint32_t run);
+//! Records that the outcome of the start order is known. Does nothing if a later run of the task is to be
+//! started on the worker by now.
+void recordStartSettled(worker_session &session, const task_name &task, std::uint32_t run);
+//! Records that the worker has accepted the run, unless it has accepted a later one.
+void recordAcceptedRun(worker_session &session, const task_name &task, std::uint32_t run, time_point now);
+
 //! Creates the session of \a worker. Leases of earlier owners may last until \a inheritedLeaseUntil.
 worker_session openSession(const worker_info &worker, time_point inheritedLeaseUntil);
 
--- a/tests/fakes/fake_fleet.h
+++ b/tests/fakes/fake_fleet.h
@@ -44,7 +44,12 @@
                             jobs::start_order order) -> kernel::task<jobs::order_response> {
             if (unresponsive.contains(target.workerId))
                 co_await kernel::sleepFor(responseTimeout);
-            co_return unresponsive.contains(target.workerId) ? jobs::order_response() : start(target, order);
+            if (unresponsive.contains(target.workerId))
+                co_return jobs::order_response();
+            co_await waitFor(startOrderDelays, order.run);
+            const jobs::order_response response = start(target, order);
+            co_await waitFor(startResponseDelays, order.run);
+            co_return response;
         };
         port.stop = [this](jobs::order_target target, jobs::task_name name,
                            std::uint32_t run) -> kernel::task<jobs::order_response> {
@@ -97,12 +102,22 @@
     int overlappingStarts = 0;
     //! Number of next starts that are executed although their response is lost.
     int startResponsesToLose = 0;
+    //! By run: how long its start orders, or the responses to them, are under way.
+    std::map<std::uint32_t, kernel::milliseconds> startOrderDelays;
+    std::map<std::uint32_t, kernel::milliseconds> startResponseDelays;
     //! Runs succeed as soon as they start.
     bool endImmediately = false;
     //! A repeated start order is refused as by an unhealthy worker, whatever the outcome of the first one.
     bool refuseRepeatedStarts = false;
 
 private:
+    static kernel::task<void> waitFor(std::map<std::uint32_t, kernel::milliseconds> delays, std::uint32_t run)
+    {
+        const auto delay = delays.find(run);
+        if (delay != delays.end())
+            co_await kernel::sleepFor(delay->second);
+    }
+
     jobs::order_response accepted() const
     {
         jobs::order_response response;
--- /dev/null
+++ b/tests/unit/owner_fixture.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "fleet/job_owner.h"
+#include "jobs/job_codec.h"
+#include "tests/fakes/fake_fleet.h"
+#include "tests/fakes/shared_store.h"
+#include "tests/unit/job_fixtures.h"
+#include "tests/unit/loop.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+
+namespace almond::tests {
+
+//! An owner that has begun its term, with the worker "w", before a store and a fleet in memory.
+class owner_fixture : public testing::Test
+{
+protected:
+    boost::asio::io_context context;
+    fakes::shared_store store;
+    fakes::fake_fleet workers;
+    jobs::fleet_config_ptr config = std::make_shared<const jobs::fleet_config>(fleetConfig());
+    std::shared_ptr<fleet::job_owner> owner;
+    kernel::milliseconds workersAge{0};
+    bool mayRenew = true;
+
+    //! The store as the owner sees it.
+    virtual store::store_api ownersStore() { return store.api(); }
+
+    void SetUp() override
+    {
+        store.put(fleet::election_key::owner, "process");
+        fleet::job_owner_dependencies dependencies;
+        dependencies.processId = "process";
+        dependencies.store = ownersStore();
+        dependencies.workers = workers.port();
+        dependencies.clock = kernel::monotonicNow;
+        dependencies.unixClock = kernel::systemNow;
+        dependencies.config = [this] { return config; };
+        dependencies.configConfirmedAt = kernel::monotonicNow;
+        dependencies.workersConfirmedAt = [this] { return kernel::monotonicNow() - workersAge; };
+        dependencies.mayRenew = [this] { return mayRenew; };
+        owner = std::make_shared<fleet::job_owner>(
+            context, std::move(dependencies),
+            fleet::won_term{1, store.revisionOf(fleet::election_key::owner), "", {}});
+        owner->updateWorker("w", worker("w"));
+        runToEnd(context, [](fleet::job_owner *starting) -> kernel::task<void> {
+            const bool loaded = co_await starting->load();
+            EXPECT_TRUE(loaded);
+        }(owner.get()));
+        owner->start();
+    }
+
+    void TearDown() override
+    {
+        owner->resign("the test is over");
+        runFor(kernel::milliseconds(700));
+    }
+
+    void accept(const jobs::job &job)
+    {
+        store.put(fleet::job_key::accepted + job.id, jobs::encodeJob(job).dump());
+    }
+
+    void runFor(kernel::milliseconds time)
+    {
+        context.restart();
+        context.run_for(time);
+    }
+
+    bool runUntil(const std::function<bool()> &reached)
+    {
+        constexpr std::chrono::seconds timeout{10};
+        const auto end = std::chrono::steady_clock::now() + timeout;
+        while (!reached() && std::chrono::steady_clock::now() < end) {
+            context.restart();
+            context.run_one_for(std::chrono::milliseconds(20));
+        }
+        return reached();
+    }
+};
+
+} // namespace almond::tests
