Let the permission to start travel with the order

Cause: an owner checks before each start order that its list of workers is at most 1.9 s old. The order may then wait up to 2 s behind a batch without a receipt and longer on a congested link, and starts on a worker that has left meanwhile.

Change: a start order has the end of its permission. The dispatcher doesn't send one that has ended while it waited; a relay takes the time that a batch was under way beyond the fastest of the last minute (transit_delay) off the permission and doesn't execute a start that is too late. Both say so ("expired"), and the owner checks again. Orders of the version before have no end and are executed as before.

Not covered: the way from the relay to the worker.

--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -290,7 +290,8 @@
                        {"abandoned", relayed.abandoned},
                        {"carriers", m_orderDispatcher->usableRelays()},
                        {"payloadsRepeated", relayed.payloadsRepeated},
-                       {"lateReceipts", relayed.lateReceipts}};
+                       {"lateReceipts", relayed.lateReceipts},
+                       {"expired", relayed.expired}};
     for (const auto &[call, traffic] : m_peers->traffic())
         state["peerTraffic"][call] = {{"messagesSent", traffic.messagesSent},
                                       {"bytesSent", traffic.bytesSent},
--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -165,10 +165,10 @@
     }
 }
 
-bool job_owner::mayStart(time_point now) const
+time_point job_owner::startPermissionEnd() const
 {
-    return now - m_dependencies.configConfirmedAt() < m_dependencies.rules.configValidity
-        && now - m_dependencies.workersConfirmedAt() < m_dependencies.rules.workersValidity;
+    return std::min(m_dependencies.configConfirmedAt() + m_dependencies.rules.configValidity,
+                    m_dependencies.workersConfirmedAt() + m_dependencies.rules.workersValidity);
 }
 
 std::vector<jobs::candidate> job_owner::candidateWorkers(time_point now) const
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -221,7 +221,9 @@
     batch prepareBatch(time_point now);
     //! The current configuration plus the removed queues that still have accepted jobs.
     jobs::fleet_config_ptr effectiveConfig();
-    bool mayStart(time_point now) const;
+    bool mayStart(time_point now) const { return now < startPermissionEnd(); }
+    //! Until when the configuration and the list of workers are recent enough to start tasks.
+    time_point startPermissionEnd() const;
     std::vector<jobs::candidate> candidateWorkers(time_point now) const;
     bool tooManyQuarantined(time_point now) const;
     std::int64_t throttledMillicores(const managed_worker &worker, const jobs::worker_load &load) const;
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -256,6 +256,8 @@
 bool job_owner::handleStartResponse(managed_worker &worker, const journal_record &record,
                                     const order_response &response, const start_attempt &attempt)
 {
+    if (response.outcome == order_outcome::expired)
+        return false;
     const time_point now = m_dependencies.clock();
     jobs::recordResponse(worker.session, response, now);
     // An obsolete run has ended on the worker, or was stopped before its start order arrived; the next poll
@@ -335,6 +337,7 @@
         order.run = record.run;
         order.payload = job->second.spec.payload;
         order.leaseEndMs = leaseEnd.value_or(0);
+        order.notAfter = startPermissionEnd();
         if (const jobs::task_state *state = jobs::findTask(m_jobTable, record.task))
             order.checkpoint = state->checkpoint;
         const order_response response = co_await m_dependencies.workers.start(orderTarget(*worker), order);
--- a/src/jobs/worker_api.h
+++ b/src/jobs/worker_api.h
@@ -2,6 +2,7 @@
 
 #include "jobs/worker_info.h"
 #include "kernel/task.h"
+#include "kernel/time.h"
 
 #include <cstdint>
 #include <functional>
@@ -19,7 +20,9 @@
     //! No byte of the order has left this process.
     notSent,
     //! No response: the order may have been carried out, or may still be.
-    unknown
+    unknown,
+    //! The permission for the order ended on the way to the worker, which has not received it.
+    expired
 };
 
 enum class order_refusal {
@@ -66,6 +69,8 @@
     std::string checkpoint;
     //! End of the lease for all tasks of the worker, on the worker's clock.
     std::int64_t leaseEndMs = 0;
+    //! When the permission for the start ends, on the clock of the process that decided on it.
+    kernel::time_point notAfter = kernel::time_point::max();
 };
 
 struct poll_order
--- a/src/relay/order_codec.cpp
+++ b/src/relay/order_codec.cpp
@@ -30,8 +30,11 @@
         json payload = nullptr;
         if (!relayed.payloadOmitted)
             payload = start->payload;
+        json notAfter = nullptr;
+        if (start->notAfter != kernel::time_point::max())
+            notAfter = kernel::toMillis(start->notAfter);
         return json::array({jobs::formatTask(start->task), start->run, std::move(payload), start->checkpoint,
-                            start->leaseEndMs});
+                            start->leaseEndMs, std::move(notAfter)});
     }
     if (const auto *stop = std::get_if<stop_order>(&relayed.order))
         return json::array({jobs::formatTask(stop->task), stop->run});
@@ -63,6 +66,8 @@
         start.payload = in.at(2);
     start.checkpoint = in.at(3);
     start.leaseEndMs = codec::integerOf<std::int64_t>(in.at(4));
+    if (in.size() > 5 && !in.at(5).is_null())
+        start.notAfter = kernel::fromMillis(codec::integerOf<std::int64_t>(in.at(5), 0, latestTimeMs));
     return start;
 }
 
@@ -179,7 +184,7 @@
     relayed_response relayed;
     relayed.number = codec::integerOf<std::uint64_t>(in.at(0));
     jobs::poll_response &response = relayed.response;
-    response.result.outcome = decodeEnum(in.at(1), jobs::order_outcome::unknown);
+    response.result.outcome = decodeEnum(in.at(1), jobs::order_outcome::expired);
     response.result.refusal = decodeEnum(in.at(2), jobs::order_refusal::ticket);
     if (!in.at(3).is_null())
         response.result.workerClockMs = codec::integerOf<std::int64_t>(in.at(3));
--- a/src/relay/order_codec.h
+++ b/src/relay/order_codec.h
@@ -9,6 +9,9 @@
 
 namespace almond::relay {
 
+//! Upper limit of the times that a batch of orders contains, in milliseconds.
+inline constexpr std::int64_t latestTimeMs = std::int64_t(1) << 52;
+
 struct stop_order
 {
     jobs::task_name task;
--- a/src/relay/order_dispatcher.cpp
+++ b/src/relay/order_dispatcher.cpp
@@ -49,7 +49,8 @@
 
 order_dispatcher::order_dispatcher(order_dispatcher_dependencies dependencies)
     : m_dependencies(std::move(dependencies))
-    , m_nextNumber(firstOrderNumber(kernel::systemNow()))
+    , m_process(firstOrderNumber(kernel::systemNow()))
+    , m_nextNumber(m_process)
 {
 }
 
@@ -142,7 +143,7 @@
         pending->response.abandon();
         ++count;
     }
-    m_outboxes[host].orders = json::array();
+    m_outboxes[host].orders.clear();
     m_counters.abandoned += count;
     if (count > 0)
         observe::log(log_level::warning, "lost a relay: its orders count as unanswered",
@@ -209,7 +210,8 @@
         order.knownList = knownListOf(order.target.workerId, host);
     const auto pending = std::make_shared<pending_order>(*m_dependencies.context, host);
     m_pending[number] = pending;
-    box.orders.push_back(encodeOrder(order));
+    const auto *start = std::get_if<jobs::start_order>(&order.order);
+    box.orders.push_back({number, encodeOrder(order), start ? start->notAfter : time_point::max()});
     if (!box.sending) {
         box.sending = true;
         kernel::spawn(m_dependencies.context->get_executor(), sendBatches(host));
@@ -249,6 +251,25 @@
     co_return repeated.result;
 }
 
+json order_dispatcher::takeOrders(outbox &box)
+{
+    const time_point now = m_dependencies.clock();
+    json rows = json::array();
+    for (queued_order &order : std::exchange(box.orders, {})) {
+        const auto pending = m_pending.find(order.number);
+        if (now < order.notAfter) {
+            rows.push_back(std::move(order.encoded));
+        } else if (pending != m_pending.end()) {
+            ++m_counters.expired;
+            relayed_response expired;
+            expired.response.result.outcome = jobs::order_outcome::expired;
+            expired.response.result.detail = "the start waited too long for its relay";
+            pending->second->response.complete(std::move(expired));
+        }
+    }
+    return rows;
+}
+
 //! Sends what accumulates for \a host, one batch after the other, until nothing is left.
 task<void> order_dispatcher::sendBatches(std::string host)
 {
@@ -256,9 +277,13 @@
     while (!box.orders.empty()) {
         co_await kernel::sleepFor(batchInterval(box.pacing, m_dependencies.rules.pacing));
         json batch;
-        batch["owner"] = m_dependencies.ownAddress;
-        batch["orders"] = std::exchange(box.orders, json::array());
         const time_point sentAt = m_dependencies.clock();
+        batch["owner"] = m_dependencies.ownAddress;
+        batch["process"] = m_process;
+        batch["sentAt"] = kernel::toMillis(sentAt);
+        batch["orders"] = takeOrders(box);
+        if (batch["orders"].empty())
+            continue;
         const milliseconds timeout = receiptTimeout(box.pacing, m_dependencies.rules.pacing);
         const auto receipt
             = co_await m_dependencies.peers->call(host, calls::orders, std::move(batch), timeout);
--- a/src/relay/order_dispatcher.h
+++ b/src/relay/order_dispatcher.h
@@ -27,6 +27,8 @@
     std::uint64_t payloadsRepeated = 0;
     //! Batches whose receipt was late, from a relay that sent other messages meanwhile.
     std::uint64_t lateReceipts = 0;
+    //! Starts that were not sent because their permission ended while they waited.
+    std::uint64_t expired = 0;
 };
 
 //! What an order_dispatcher needs from its process.
@@ -64,10 +66,17 @@
 private:
     struct pending_order;
     using pending_ptr = std::shared_ptr<pending_order>;
+    //! An order that is to be sent to a relay.
+    struct queued_order
+    {
+        std::uint64_t number = 0;
+        nlohmann::json encoded;
+        time_point notAfter = time_point::max();
+    };
     //! What is sent to one relay.
     struct outbox
     {
-        nlohmann::json orders = nlohmann::json::array();
+        std::vector<queued_order> orders;
         bool sending = false;
         batch_pacing pacing;
         //! Jobs whose payload the relay has been sent.
@@ -87,6 +96,8 @@
     kernel::task<jobs::order_response> startThroughRelay(std::string host, jobs::order_target target,
                                                          jobs::start_order order);
     kernel::task<void> sendBatches(std::string host);
+    //! Empties \a box. Orders whose permission has ended are completed as expired.
+    nlohmann::json takeOrders(outbox &box);
     void handleMissingReceipt(const std::string &host, time_point sentAt);
     //! Completes the list of runs in \a response from the one that it is based on. Returns false if that one
     //! is not known here.
@@ -106,6 +117,8 @@
     std::map<std::string, outbox> m_outboxes;
     std::map<std::string, known_list> m_lists; // by worker id
     std::map<std::uint64_t, pending_ptr> m_pending;
+    //! Number of this process, unique among all owners.
+    std::uint64_t m_process;
     std::uint64_t m_nextNumber;
     relay_counters m_counters;
 };
--- a/src/relay/order_relay.cpp
+++ b/src/relay/order_relay.cpp
@@ -26,6 +26,23 @@
                                            rules.offerInterval.count(), rules.longestOfferInterval.count()));
 }
 
+//! Returns by how much the owner's clock is behind the own one, without the time that a message is usually
+//! under way. So what the message was under way beyond that counts as passed on the owner's clock.
+milliseconds clockDifference(transit_delay &transit, const json &batch, time_point receivedAt)
+{
+    const time_point sentAt
+        = kernel::fromMillis(codec::integerMember<std::int64_t>(batch, "sentAt", 0, 0, latestTimeMs));
+    const auto process = codec::integerMember<std::uint64_t>(batch, "process", 0);
+    return receivedAt - sentAt - recordTransit(transit, process, sentAt, receivedAt);
+}
+
+void translatePermission(relayed_order &order, milliseconds difference)
+{
+    auto *start = std::get_if<jobs::start_order>(&order.order);
+    if (start && start->notAfter != time_point::max())
+        start->notAfter += difference;
+}
+
 } // namespace
 
 order_relay::order_relay(order_relay_dependencies dependencies)
@@ -63,9 +80,12 @@
 json order_relay::handleOrders(const json &arguments)
 {
     const std::string owner = arguments.at("owner");
+    const milliseconds difference = clockDifference(m_transits[owner], arguments, kernel::monotonicNow());
     for (const json &row : arguments.at("orders")) {
         try {
-            kernel::spawn(m_dependencies.context->get_executor(), executeOrder(owner, decodeOrder(row)));
+            relayed_order order = decodeOrder(row);
+            translatePermission(order, difference);
+            kernel::spawn(m_dependencies.context->get_executor(), executeOrder(owner, std::move(order)));
         } catch (const std::exception &error) {
             observe::logLimited(log_level::error,
                                 "failed to decode a relayed order; the owner will send it again",
@@ -96,10 +116,17 @@
 task<jobs::order_response> order_relay::startRun(relayed_order &order)
 {
     jobs::start_order &start = std::get<jobs::start_order>(order.order);
-    if (!order.payloadOmitted) {
+    // The owner counts on the payload also if this start is too late.
+    if (!order.payloadOmitted)
         keepPayload(start.task.job, start.payload);
-        co_return co_await m_dependencies.workers.start(order.target, std::move(start));
+    if (kernel::monotonicNow() >= start.notAfter) {
+        jobs::order_response expired;
+        expired.outcome = jobs::order_outcome::expired;
+        expired.detail = "the permission to start ended on the way";
+        co_return expired;
     }
+    if (!order.payloadOmitted)
+        co_return co_await m_dependencies.workers.start(order.target, std::move(start));
     const auto known = m_payloads.find(start.task.job);
     if (known == m_payloads.end()) {
         jobs::order_response missing;
--- a/src/relay/order_relay.h
+++ b/src/relay/order_relay.h
@@ -3,6 +3,7 @@
 #include "jobs/worker_api.h"
 #include "relay/order_codec.h"
 #include "relay/relay_table.h"
+#include "relay/transit_delay.h"
 #include "wire/peer_link.h"
 
 #include <deque>
@@ -68,6 +69,7 @@
     order_relay_dependencies m_dependencies;
     std::map<std::string, outbox> m_outboxes; // by the owner's address
     std::map<std::string, returned_list> m_lists; // by worker id
+    std::map<std::string, transit_delay> m_transits; // by the owner's address
     std::map<std::string, std::string> m_payloads; // by job
     //! The jobs of m_payloads, oldest first.
     std::deque<std::string> m_payloadOrder;
--- a/src/relay/relay_calls.h
+++ b/src/relay/relay_calls.h
@@ -10,7 +10,9 @@
 //! From a host to the owner: {"address", "processorShare", "format"}; the response is {"wanted",
 //! "nextOfferMs"}.
 inline constexpr const char *offer = "relay.offer";
-//! From the owner to a relay: {"owner", "orders"}; the immediate response only confirms receipt.
+//! From the owner to a relay: {"owner", "process", "sentAt", "orders"}; the immediate response only confirms
+//! receipt. "sentAt" and the end of a start's permission are times on the clock of the owner's "process", in
+//! milliseconds.
 inline constexpr const char *orders = "relay.orders.2";
 //! From a relay to the owner: {"address", "answers"}; the immediate response only confirms receipt.
 inline constexpr const char *responses = "relay.answers.2";
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -1,5 +1,6 @@
 #include "relay/order_dispatcher.h"
 #include "relay/order_relay.h"
+#include "relay/relay_calls.h"
 #include "tests/fakes/fake_fleet.h"
 #include "tests/unit/draw.h"
 
@@ -183,11 +184,12 @@
         return std::move(result.value());
     }
 
-    jobs::order_response start(std::uint32_t index)
+    jobs::order_response start(std::uint32_t index, kernel::time_point notAfter = kernel::time_point::max())
     {
         jobs::start_order order;
         order.task = {jobId, 0, 0, index};
         order.run = 1;
+        order.notAfter = notAfter;
         const jobs::worker_api port = dispatcher->port();
         return await(port.start({"w", "10.0.0.9:80", 7}, order));
     }
@@ -225,4 +227,54 @@
     EXPECT_EQ(directWorkers.starts.size(), 1U);
 }
 
+//! Guards against an order that acts on a permission that ended while it waited behind a slow batch.
+TEST_F(order_relay_test, StartWhosePermissionEndsBehindAnotherBatchIsNotSent)
+{
+    ASSERT_TRUE(runUntil([&] { return dispatcher->usableRelays() == 1; }));
+    int batches = 0;
+    relayPeers.provide(relay::calls::orders, [&batches](wire::json) -> task<wire::json> {
+        ++batches;
+        co_await kernel::sleepFor(kernel::milliseconds(300));
+        co_return wire::json::object();
+    });
+    kernel::spawn(context.get_executor(), [](jobs::worker_api port) -> task<void> {
+        jobs::order_target target{"w", "10.0.0.9:80", 7};
+        const jobs::poll_order order;
+        co_await port.poll(std::move(target), order);
+    }(dispatcher->port()));
+    ASSERT_TRUE(runUntil([&] { return batches == 1; }));
+    EXPECT_EQ(start(0, kernel::monotonicNow() + kernel::milliseconds(100)).outcome,
+              jobs::order_outcome::expired);
+    EXPECT_EQ(batches, 1);
+    EXPECT_TRUE(directWorkers.starts.empty());
+}
+
+TEST_F(order_relay_test, StartThatArrivesAfterTheEndOfItsPermissionIsNotExecuted)
+{
+    constexpr kernel::milliseconds ownersClockAhead{700'000};
+    const auto batch = [&](std::uint32_t index, kernel::milliseconds age) {
+        const kernel::time_point sentAt = kernel::monotonicNow() + ownersClockAhead - age;
+        relay::relayed_order order;
+        order.number = index + 1;
+        order.target = {"w", "10.0.0.9:80", 7};
+        jobs::start_order started;
+        started.task = {jobId, 0, 0, index};
+        started.run = 1;
+        started.notAfter = sentAt + kernel::milliseconds(1000);
+        order.order = started;
+        wire::json message{{"owner", ownerAddress}, {"process", 5}, {"sentAt", kernel::toMillis(sentAt)}};
+        message["orders"] = wire::json::array({relay::encodeOrder(order)});
+        return message;
+    };
+    const auto send = [&](wire::json message) {
+        await(ownerPeers.call(relayAddress, relay::calls::orders, std::move(message),
+                              kernel::milliseconds(1000)));
+    };
+    send(batch(0, kernel::milliseconds(0)));
+    send(batch(1, kernel::milliseconds(2000)));
+    send(batch(2, kernel::milliseconds(200)));
+    ASSERT_TRUE(runUntil([&] { return relayedWorkers.starts.size() == 2; }));
+    EXPECT_EQ(relayedWorkers.starts.back().task, jobs::formatTask({jobId, 0, 0, 2}));
+}
+
 } // namespace
