Describe the serving tasks of a worker only where a waiting task needs it

Each worker also kept an entry for every best-effort image that had ever run on it, and each description went through all of them.

Change: a candidate's serving tasks are described only if a waiting task may be placed beside them; an image without a task on a worker is forgotten; reports look a task up once; a run is compared with the durations of its step only if it has a comparable one.

Tried and dropped: guaranteed tasks placed where they take no CPU from best-effort tasks.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -175,7 +175,9 @@
 {
     const jobs::fleet_config_ptr config = m_dependencies.config();
     const bool ignoreQuarantine = tooManyQuarantined(now);
+    const jobs::waiting_demand waiting = jobs::waitingDemand(m_jobTable);
     std::vector<jobs::candidate> usable;
+    usable.reserve(m_workers.size());
     for (const auto &[incarnation, worker] : m_workers) {
         const jobs::worker_session &session = worker->session;
         if (!ignoreQuarantine && placement::isQuarantined(worker->evaluation.health, now))
@@ -189,11 +191,12 @@
             jobs::makeCandidate(session.info, load == m_jobTable.loads.end() ? nullptr : &load->second));
         if (load == m_jobTable.loads.end())
             continue;
-        usable.back().spareMillicores += throttledMillicores(*worker, load->second);
-        usable.back().serving = jobs::servingViews(m_interference.model, m_interference.rules, load->second,
-                                                   session.info.capacity, worker->throttle, now);
-        usable.back().bestEffortBlocked
-            = jobs::isBestEffortBlocked(worker->throttle, m_interference.rules, now);
+        jobs::candidate &added = usable.back();
+        added.spareMillicores += throttledMillicores(*worker, load->second);
+        added.bestEffortBlocked = jobs::isBestEffortBlocked(worker->throttle, m_interference.rules, now);
+        if (jobs::needsServingViews(added, waiting))
+            added.serving = jobs::servingViews(m_interference.model, m_interference.rules, load->second,
+                                               session.info.capacity, worker->throttle, now);
     }
     return usable;
 }
--- a/src/jobs/interference.cpp
+++ b/src/jobs/interference.cpp
@@ -301,16 +301,17 @@
                       std::span<const running_report> running, time_point now)
 {
     cores_by_image cores;
+    std::vector<std::pair<const step_spec *, const running_report *>> serving;
     for (const running_report &row : running) {
         const step_spec *spec = findStep(table, row.task);
         if (spec && spec->bestEffort)
             addCores(cores, numberOf(model, spec->image), modelCores(row.measurement, capacity));
+        if (isServing(spec))
+            serving.emplace_back(spec, &row);
     }
     throttle.unexplainedLoss.clear();
-    for (const running_report &row : running) {
-        const step_spec *spec = findStep(table, row.task);
-        if (!isServing(spec))
-            continue;
+    for (const auto &[spec, report] : serving) {
+        const running_report &row = *report;
         const image_number image = numberOf(model, spec->image);
         if (row.measurement <= 0)
             continue;
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -89,7 +89,11 @@
     resources guaranteed = spec.demand;
     if (spec.bestEffort) {
         load.bestEffortMillicores -= guaranteed.millicores;
-        load.bestEffortByImage[spec.image] -= guaranteed.millicores;
+        const auto image = load.bestEffortByImage.find(spec.image);
+        if (image != load.bestEffortByImage.end() && image->second > guaranteed.millicores)
+            image->second -= guaranteed.millicores;
+        else if (image != load.bestEffortByImage.end())
+            load.bestEffortByImage.erase(image);
         guaranteed.millicores = 0;
     }
     if (spec.longRunning)
--- a/src/jobs/placement_round.cpp
+++ b/src/jobs/placement_round.cpp
@@ -13,9 +13,7 @@
         return fits(spec.demand, worker.available);
     resources guaranteed = spec.demand;
     guaranteed.millicores = 0;
-    const bool hasSpareCpu = worker.spareMillicores >= spec.demand.millicores
-        || (worker.bestEffortMillicores == 0 && worker.spareMillicores * 2 >= spec.demand.millicores);
-    return hasSpareCpu && fits(guaranteed, worker.available);
+    return hasSpareCpu(worker, spec.demand.millicores) && fits(guaranteed, worker.available);
 }
 
 //! Slack that one more task takes from \a serving on \a worker.
@@ -113,6 +111,12 @@
 
 } // namespace
 
+bool hasSpareCpu(const candidate &worker, std::int64_t millicores)
+{
+    return worker.spareMillicores >= millicores
+        || (worker.bestEffortMillicores == 0 && worker.spareMillicores * 2 >= millicores);
+}
+
 task_name firstTaskOf(const ready_step &step)
 {
     return {step.jobState->spec.id, step.occurrence, step.step, 0};
--- a/src/jobs/placement_round.h
+++ b/src/jobs/placement_round.h
@@ -59,6 +59,8 @@
     std::optional<image_number> image;
 };
 
+//! Returns whether a best-effort task of \a millicores can expect enough CPU on \a worker.
+bool hasSpareCpu(const candidate &worker, std::int64_t millicores);
 task_name firstTaskOf(const ready_step &step);
 std::uint32_t tasksOfStep(const planning_round &round, const candidate &worker, const task_name &first);
 placement_request placementRequestOf(const planning_round &round, const ready_step &step);
--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -246,6 +246,33 @@
     return result;
 }
 
+waiting_demand waitingDemand(const job_table &table)
+{
+    waiting_demand demand;
+    for (const std::string &id : table.jobsWithWaitingTasks) {
+        const job_state &jobState = table.jobs.find(id)->second;
+        for (const auto &[number, occurrence] : jobState.occurrences) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                const step_spec &spec = jobState.spec.steps[step];
+                if (occurrence.steps[step].waiting == 0)
+                    continue;
+                demand.serving = demand.serving || (spec.longRunning && spec.tailLatencyTarget.count() > 0);
+                if (spec.bestEffort)
+                    demand.smallestBestEffort = std::min(
+                        demand.smallestBestEffort.value_or(spec.demand.millicores), spec.demand.millicores);
+            }
+        }
+    }
+    return demand;
+}
+
+bool needsServingViews(const candidate &worker, const waiting_demand &demand)
+{
+    return demand.serving
+        || (demand.smallestBestEffort && !worker.bestEffortBlocked
+            && hasSpareCpu(worker, *demand.smallestBestEffort));
+}
+
 std::vector<journal_record> planStarts(const job_table &table, const fleet_config &config,
                                        const interference_view &interference,
                                        std::vector<candidate> candidates, std::size_t limit,
--- a/src/jobs/planner.h
+++ b/src/jobs/planner.h
@@ -5,6 +5,7 @@
 #include "jobs/job_table.h"
 #include "jobs/worker_info.h"
 
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -39,6 +40,20 @@
 //! Returns \a worker as a candidate without the resources of \a load; \a load is null for an idle worker.
 candidate makeCandidate(const worker_info &worker, const worker_load *load);
 
+//! What the waiting tasks have to know of the serving tasks on a candidate.
+struct waiting_demand
+{
+    //! Smallest CPU demand of the best-effort tasks, in millicores; nothing if there are none.
+    std::optional<std::int64_t> smallestBestEffort;
+    //! There are serving tasks; they are grouped by image.
+    bool serving = false;
+};
+
+waiting_demand waitingDemand(const job_table &table);
+//! Returns whether the serving tasks on \a worker can matter for a task that waits. They are costly to
+//! describe on a large fleet.
+bool needsServingViews(const candidate &worker, const waiting_demand &demand);
+
 //! Plans the next starts. The order is: by priority of the queues; then long-running tasks that ran before;
 //! then batch tasks; then new long-running tasks, which would take capacity for good; each by time of
 //! acceptance. A step that fits on no worker is skipped. For a few such long-running tasks workers are
--- a/src/jobs/worker_evaluation.cpp
+++ b/src/jobs/worker_evaluation.cpp
@@ -86,10 +86,11 @@
 bool isSlowRun(const job_table &table, const step_durations &durations, const evaluation_rules &rules,
                const worker_info &worker, const task_name &task, milliseconds elapsed)
 {
-    const auto known = durations.find(firstTaskOfStep(task));
     const step_spec *spec = findStep(table, task);
-    if (!spec || !hasComparableDuration(*spec, worker) || known == durations.end()
-        || known->second.ends < rules.minSamples)
+    if (!spec || !hasComparableDuration(*spec, worker))
+        return false;
+    const auto known = durations.find(firstTaskOfStep(task));
+    if (known == durations.end() || known->second.ends < rules.minSamples)
         return false;
     const double mean
         = static_cast<double>(known->second.sum.count()) / static_cast<double>(known->second.ends);
