--- a/tests/unit/transit_delay_test.cpp
+++ b/tests/unit/transit_delay_test.cpp
@@ -40,7 +40,7 @@
 TEST(TransitDelay, DriftOfTheClocksDoesNotBecomeADelay)
 {
     relay::transit_delay delay;
-    for (std::int64_t second = 0; second < 24 * 3600; ++second) {
+    for (std::int64_t second = 0; second < 24L * 3600; ++second) {
         const std::int64_t sentMs = second * 1000;
         const std::int64_t driftMs = second / 10;
         EXPECT_LE(record(delay, sentMs, fastest + driftMs), milliseconds(13));
