Cancel a job whose cancellation was listed before it

A job that was accepted behind a page already read, and cancelled before the page of the cancellations, is known by its cancellation only. When the watch then brought the job and its cancellation, the job was added, and the cancellation ignored as already known.

Change: a job that is added while its cancellation is known is cancelled.

Ruled out: a cancellation that was not written (it is acknowledged only then).

Before: cancelled_while_listing_test fails (both tasks start). After: it passes.

--- a/src/fleet/job_owner_load.cpp
+++ b/src/fleet/job_owner_load.cpp
@@ -122,6 +122,9 @@
         if (rules && jobs::recordAccepted(m_queues, *rules))
             m_configSource = nullptr;
         jobs::addJob(m_jobTable, accepted);
+        // A listing may contain the cancellation of a job that was accepted behind a page already read.
+        if (m_loaded && m_cancelled.contains(accepted.id))
+            jobs::cancelJob(m_jobTable, accepted.id);
     } catch (const std::exception &error) {
         observe::logLimited(log_level::error, "failed to decode an accepted job",
                             {{"key", item.key}, {"error", error.what()}}, m_dependencies.clock());
