--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -36,10 +36,22 @@
     """The case could not be run; the script exits with 2."""
 
 
+taken_ports = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A free port below the range from which the system takes the ports of outgoing connections."""
+    while True:
+        port = random.randrange(10_000, 30_000)
+        if port in taken_ports:
+            continue
+        taken_ports.add(port)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
 
 
 class Record:
@@ -340,6 +352,7 @@
         self.ended = []
         self.next_end = 1
         self.end_listed = asyncio.Event()
+        self.polls_waiting = 0
         self.http = HttpServer(self.handle)
         await self.http.listen(self.port)
         self.record.add("minion-up", minion=self.id, born=self.born, life=self.life)
@@ -530,10 +543,15 @@
                 self.record.add("end-noted", minion=self.id, life=self.life, task=row[1], run=row[2], how=row[3])
         self.ended = [row for row in self.ended if row[0] > cursor]
         if not self.ended and order.get("wait_ms", 0) > 0:
+            self.polls_waiting += 1
+            if self.polls_waiting > 1:
+                self.record.add("polls-waiting", minion=self.id, count=self.polls_waiting)
             try:
                 await asyncio.wait_for(self.end_listed.wait(), order["wait_ms"] / 1000)
             except asyncio.TimeoutError:
                 pass
+            finally:
+                self.polls_waiting -= 1
         running = [[run.task, run.number, run.saved, 100, 1000] for run in self.running.values()]
         return 200, {"clock_ms": self.clock(), "born": self.born, "running": running, "ended": self.ended[:500]}
 
