Let a restarted worker's own list decide about its runs

Cause: a start order names the worker, not its incarnation, and its response doesn't say which one gave it. The owner took a new incarnation, shown by a poll or by the list of workers, as proof that every run planned for the earlier one had ended, and dropped the list with which the new one said otherwise. Orders still under way counted as lost too. An acknowledgement meant for the earlier incarnation, whose numbers of ends start anew, made the new one forget ends that nobody had read. Ruled out: a lost response (the order is answered), the lease (the two starts are 0.7 s apart).

An order without a response is stopped there first, and nothing planned for the earlier incarnation is sent. Ends are acknowledged once, right after a poll that the same incarnation answered.

Tests: restarted_worker_test fails in 7 of its 8 cases on the code before (the eighth holds on both) and passes now. worker_session_test AnotherIncarnationEndsEveryRunImmediately asked for the fault itself; it is replaced by TheListOfANewIncarnationDecidesWhichRunsAreLost, AResponseOfAnotherIncarnationChangesNothing and ANewIncarnationThatDoesNotRespondKeepsTheRunsUntilItsLeaseHasExpired. The property of job_table_test moves runs as well.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -30,16 +30,7 @@
 
 void job_owner::start()
 {
-    // Workers that are no longer listed may still run tasks that an earlier owner started.
-    for (const auto &[incarnation, load] : m_jobTable.loads) {
-        if (m_workers.contains(incarnation))
-            continue;
-        auto unlisted = std::make_shared<managed_worker>(m_context.get_executor());
-        unlisted->session = jobs::openSession({}, m_inheritedLeaseEnd);
-        unlisted->session.incarnation = incarnation;
-        unlisted->session.listed = false;
-        m_workers[incarnation] = unlisted;
-    }
+    adoptUnlistedRuns();
     applyHandedOverLeases();
     collectInheritedFailures();
     for (const auto &[incarnation, worker] : m_workers)
@@ -273,8 +264,10 @@
     for (const journal_record &record : next.records) {
         if (record.kind != jobs::record_kind::started)
             continue;
-        const managed_worker_ptr worker = m_workers.at(record.worker);
-        kernel::spawn(m_context.get_executor(), startTask(shared_from_this(), worker, record));
+        // The worker may have restarted while the record was written.
+        const std::string &incarnation = m_incarnations.at(jobs::workerIdOf(record.worker));
+        kernel::spawn(m_context.get_executor(),
+                      startTask(shared_from_this(), m_workers.at(incarnation), record));
     }
 }
 
@@ -299,8 +292,10 @@
             queueRecords(std::move(expired));
             const bool removable = (worker->session.dead || !worker->session.listed)
                 && !m_jobTable.loads.contains(entry->first) && worker->session.pendingStarts.empty();
-            if (removable)
+            if (removable) {
                 worker->signal.wake();
+                m_incarnations.erase(worker->session.info.id);
+            }
             entry = removable ? m_workers.erase(entry) : std::next(entry);
         }
         scanWaiting(now);
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -174,6 +174,8 @@
         {
         }
         jobs::worker_session session;
+        //! What the list of workers says at present; nothing if the worker is not listed.
+        std::optional<jobs::worker_info> listing;
         kernel::wake_signal signal;
         time_point refusedAt{};
         jobs::throttle_state throttle;
@@ -253,6 +255,12 @@
     milliseconds pollWaitFor(const managed_worker &worker) const;
     jobs::order_target orderTarget(const managed_worker &worker) const;
     void startWorkerLoop(const managed_worker_ptr &worker);
+    managed_worker_ptr addWorker(const std::string &id, const std::string &incarnation,
+                                 jobs::worker_session session);
+    void applyListing(managed_worker &worker);
+    void replaceIncarnation(const managed_worker_ptr &worker, std::int64_t bornMs);
+    void moveRuns(const std::string &from, const std::string &to);
+    void adoptUnlistedRuns();
 
     boost::asio::io_context &m_context;
     job_owner_dependencies m_dependencies;
@@ -284,7 +292,7 @@
     //! Jobs with records that are not committed yet.
     std::set<std::string, std::less<>> m_uncommittedJobs;
     std::map<std::string, managed_worker_ptr> m_workers; // by incarnation
-    std::map<std::string, std::string> m_incarnations; // by worker id
+    std::map<std::string, std::string> m_incarnations; // of the entries of m_workers, by worker id
     std::set<std::pair<std::string, std::uint32_t>> m_stopping; // task and run
     std::shared_ptr<store::prefix_watcher> m_jobKeys;
     kernel::wake_signal m_commitSignal;
--- a/src/fleet/job_owner_handover.cpp
+++ b/src/fleet/job_owner_handover.cpp
@@ -54,6 +54,10 @@
     for (journal_record &record : std::exchange(m_queuedRecords, {})) {
         if (!jobs::apply(m_jobTable, record))
             continue;
+        if (record.kind == jobs::record_kind::moved) {
+            next.records.push_back(std::move(record));
+            continue;
+        }
         recordEnd(record, now);
         changedTasks.push_back(record.task);
         next.records.push_back(std::move(record));
--- /dev/null
+++ b/src/fleet/job_owner_incarnations.cpp
@@ -0,0 +1,108 @@
+// The part of job_owner that follows the incarnations of workers.
+
+#include "fleet/job_owner.h"
+
+#include "observe/log.h"
+
+namespace almond::fleet {
+
+using observe::log_level;
+
+job_owner::managed_worker_ptr job_owner::addWorker(const std::string &id, const std::string &incarnation,
+                                                   jobs::worker_session session)
+{
+    auto worker = std::make_shared<managed_worker>(m_context.get_executor());
+    worker->session = std::move(session);
+    m_workers[incarnation] = worker;
+    m_incarnations[id] = incarnation;
+    return worker;
+}
+
+void job_owner::updateWorker(const std::string &id, const std::optional<jobs::worker_info> &info)
+{
+    const auto known = m_incarnations.find(id);
+    if (known == m_incarnations.end() && !info)
+        return;
+    managed_worker_ptr worker;
+    if (known != m_incarnations.end())
+        worker = m_workers.at(known->second);
+    else
+        worker = addWorker(id, jobs::incarnationOf(*info), jobs::openSession(*info, m_inheritedLeaseEnd));
+    worker->listing = info;
+    if (info && jobs::incarnationOf(*info) != worker->session.incarnation)
+        replaceIncarnation(worker, info->bornMs);
+    applyListing(*worker);
+    if (!info) {
+        observe::log(log_level::info, "worker left the list", {{"worker", worker->session.incarnation}});
+        worker->signal.wake();
+        return;
+    }
+    if (m_loaded)
+        startWorkerLoop(worker);
+    m_commitSignal.wake();
+}
+
+//! Updates the session from the list of workers, unless the list names another incarnation.
+void job_owner::applyListing(managed_worker &worker)
+{
+    jobs::worker_session &session = worker.session;
+    session.listed = worker.listing && jobs::incarnationOf(*worker.listing) == session.incarnation;
+    if (session.listed)
+        session.info = *worker.listing;
+}
+
+//! Continues \a worker with the incarnation that was born at \a bornMs. Its runs pass on: the new incarnation
+//! may have accepted start orders that were meant for the earlier one.
+void job_owner::replaceIncarnation(const managed_worker_ptr &worker, std::int64_t bornMs)
+{
+    const std::string earlier = worker->session.incarnation;
+    jobs::restartSession(worker->session, bornMs);
+    const std::string present = worker->session.incarnation;
+    worker->throttle = {};
+    worker->evaluation = {};
+    worker->refusedAt = time_point{};
+    m_workers.erase(earlier);
+    m_workers[present] = worker;
+    m_incarnations[worker->session.info.id] = present;
+    observe::log(
+        log_level::info, "worker has restarted",
+        {{"worker", present}, {"earlier", earlier}, {"pendingStarts", worker->session.pendingStarts.size()}});
+    moveRuns(earlier, present);
+    worker->signal.wake();
+}
+
+//! Assigns the runs of the incarnation \a from to the incarnation \a to at once, so that the next list of
+//! runs of the worker is compared with them, and writes this to the journal with the next commit.
+void job_owner::moveRuns(const std::string &from, const std::string &to)
+{
+    std::vector<jobs::journal_record> records = jobs::recordMoves(m_jobTable, from, to);
+    for (const jobs::journal_record &record : records)
+        jobs::apply(m_jobTable, record);
+    queueRecords(std::move(records));
+}
+
+//! Workers that are no longer listed, or are listed with a new incarnation, may still run tasks that an
+//! earlier owner started.
+void job_owner::adoptUnlistedRuns()
+{
+    std::vector<std::string> unlisted;
+    for (const auto &[incarnation, load] : m_jobTable.loads) {
+        if (!m_workers.contains(incarnation))
+            unlisted.push_back(incarnation);
+    }
+    for (const std::string &incarnation : unlisted) {
+        const std::string id = jobs::workerIdOf(incarnation);
+        const auto known = m_incarnations.find(id);
+        if (known != m_incarnations.end()) {
+            moveRuns(incarnation, known->second);
+            continue;
+        }
+        jobs::worker_session session = jobs::openSession({}, m_inheritedLeaseEnd);
+        session.info.id = id;
+        session.incarnation = incarnation;
+        session.listed = false;
+        addWorker(id, incarnation, std::move(session));
+    }
+}
+
+} // namespace almond::fleet
--- a/src/fleet/job_owner_watch.cpp
+++ b/src/fleet/job_owner_watch.cpp
@@ -46,7 +46,7 @@
     // Until they are committed, the same expired runs are found on each tick.
     if (jobs::recordExpiredRuns(m_waitMonitor, view, worker.session, expired))
         observe::log(log_level::warning,
-                     "runs on a worker have ended: its lease has expired or it has a new incarnation",
+                     "runs on a worker have ended: its lease has expired or another worker has its address",
                      jobs::describeExpiry(worker.session, view, expired));
 }
 
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -15,40 +15,6 @@
 using kernel::task;
 using observe::log_level;
 
-void job_owner::updateWorker(const std::string &id, const std::optional<jobs::worker_info> &info)
-{
-    const std::string incarnation = info ? jobs::incarnationOf(*info) : "";
-    std::string &listedIncarnation = m_incarnations[id];
-    const auto previous = m_workers.find(listedIncarnation);
-    if (!listedIncarnation.empty() && listedIncarnation != incarnation && previous != m_workers.end()) {
-        previous->second->session.listed = false;
-        // A worker has only one incarnation at a time: a new one proves that the previous one has ended.
-        previous->second->session.dead = previous->second->session.dead || info.has_value();
-        observe::log(log_level::info, "worker left the list",
-                     {{"worker", listedIncarnation}, {"replacedBy", incarnation}});
-        previous->second->signal.wake();
-    }
-    if (!info) {
-        m_incarnations.erase(id);
-        return;
-    }
-    listedIncarnation = incarnation;
-    const auto found = m_workers.find(incarnation);
-    if (found != m_workers.end()) {
-        found->second->session.info = *info;
-        found->second->session.listed = true;
-        if (m_loaded)
-            startWorkerLoop(found->second);
-        m_commitSignal.wake();
-        return;
-    }
-    auto worker = std::make_shared<managed_worker>(m_context.get_executor());
-    worker->session = jobs::openSession(*info, m_inheritedLeaseEnd);
-    m_workers[incarnation] = worker;
-    if (m_loaded)
-        startWorkerLoop(worker);
-}
-
 void job_owner::startWorkerLoop(const managed_worker_ptr &worker)
 {
     if (worker->loopRunning || worker->session.info.address.empty())
@@ -67,7 +33,7 @@
     const jobs::worker_session &session = worker.session;
     const bool clockOld = !session.clock || now - session.clock->at > m_dependencies.rules.clockValidity;
     return m_jobTable.loads.contains(session.incarnation) || session.endsRead > session.endsDurable
-        || !session.fenced || clockOld || !session.running.empty();
+        || jobs::hasUnacknowledgedEnds(session) || !session.fenced || clockOld || !session.running.empty();
 }
 
 milliseconds job_owner::pollWaitFor(const managed_worker &worker) const
@@ -116,7 +82,7 @@
 {
     const time_point sentAt = m_dependencies.clock();
     jobs::poll_order order;
-    order.acknowledge = worker->session.endsDurable;
+    order.acknowledge = jobs::nextAcknowledgement(worker->session);
     order.wait = pollWaitFor(*worker);
     const bool hasRuns = m_jobTable.loads.contains(worker->session.incarnation);
     if (hasRuns && m_dependencies.mayRenew()
@@ -125,6 +91,7 @@
     if (order.leaseEndMs)
         jobs::recordGrantedLease(worker->session, *order.leaseEndMs, m_dependencies.rules.sessions);
     ++m_counters.polls;
+    const std::string incarnation = worker->session.incarnation;
     const jobs::poll_response response = co_await m_dependencies.workers.poll(orderTarget(*worker), order);
     const time_point now = m_dependencies.clock();
     const order_response &result = response.result;
@@ -142,9 +109,18 @@
         co_await kernel::sleepFor(m_dependencies.rules.retryDelay);
         co_return;
     }
+    if (jobs::isOtherIncarnation(worker->session, response)) {
+        // The list of workers may have named the new incarnation while a response of the earlier one was
+        // under way.
+        if (worker->session.incarnation != incarnation)
+            co_return;
+        replaceIncarnation(worker, response.bornMs);
+        applyListing(*worker);
+    }
     const bool firstResponse = !worker->session.fenced;
     updateWorkerHealth(*worker, response, now);
-    queueRecords(jobs::applyPoll(worker->session, response, m_jobTable, sentAt, now));
+    const std::uint64_t acknowledged = worker->session.incarnation == incarnation ? order.acknowledge : 0;
+    queueRecords(jobs::applyPoll(worker->session, response, m_jobTable, sentAt, now, acknowledged));
     stopUnwantedRuns(worker);
     throttleBestEffort(worker, now);
     if (firstResponse || worker->session.endsRead > worker->session.endsDurable)
@@ -310,11 +286,14 @@
 {
     start_attempt attempt;
     for (attempt.number = 1; !m_resigned && !worker->session.dead; ++attempt.number) {
-        if (jobs::assignedRun(m_jobTable, record.worker, record.task) != record.run)
+        if (jobs::assignedRun(m_jobTable, worker->session.incarnation, record.task) != record.run)
             break;
         const auto job = m_jobTable.jobs.find(record.task.job);
         const bool wanted = !jobs::isFinal(job->second.status);
         std::string obstacle = startObstacle(*worker, m_dependencies.clock());
+        // The new incarnation may be of another kind.
+        if (worker->session.incarnation != record.worker)
+            obstacle = "the worker has restarted";
         if (attempt.number > m_dependencies.rules.startAttempts)
             obstacle = "the worker can't be reached";
         if (!wanted)
@@ -349,7 +328,8 @@
     jobs::recordStartSettled(worker->session, record.task, record.run);
     const auto job = m_jobTable.jobs.find(record.task.job);
     const bool unwanted = job == m_jobTable.jobs.end() || jobs::isFinal(job->second.status);
-    if (unwanted && !m_resigned && jobs::assignedRun(m_jobTable, record.worker, record.task) == record.run)
+    const std::uint32_t assigned = jobs::assignedRun(m_jobTable, worker->session.incarnation, record.task);
+    if (unwanted && !m_resigned && assigned == record.run)
         co_await stopRun(self, worker, record.task, record.run);
 }
 
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -206,6 +206,17 @@
     return true;
 }
 
+bool applyMoved(job_table &table, const journal_record &record)
+{
+    const located_task place = locate(table, record.task);
+    if (!place.task || place.task->phase != task_phase::assigned || record.run != place.task->run)
+        return false;
+    removeLoad(table, place.task->worker, record.task, *place.spec);
+    place.task->worker = record.worker;
+    addLoad(table, record.worker, record.task, record.run, *place.spec);
+    return true;
+}
+
 bool endJob(job_table &table, std::string_view id, job_status status)
 {
     const auto found = table.jobs.find(id);
@@ -269,6 +280,8 @@
     case record_kind::leaseHandedOver:
         table.handedLeases[record.worker] = {record.term, record.leaseLeft};
         return true;
+    case record_kind::moved:
+        return applyMoved(table, record);
     }
     return false;
 }
@@ -300,11 +313,29 @@
     return run == load->second.runs.end() ? 0 : run->second;
 }
 
+std::vector<journal_record> recordMoves(const job_table &table, std::string_view from, const std::string &to)
+{
+    std::vector<journal_record> records;
+    const auto load = table.loads.find(from);
+    if (load == table.loads.end())
+        return records;
+    for (const auto &[task, run] : load->second.runs) {
+        journal_record &record = records.emplace_back();
+        record.kind = record_kind::moved;
+        record.task = task;
+        record.run = run;
+        record.worker = to;
+    }
+    return records;
+}
+
 json encodeRecord(const journal_record &record)
 {
     switch (record.kind) {
     case record_kind::started:
         return json::array({"started", formatTask(record.task), record.run, record.worker});
+    case record_kind::moved:
+        return json::array({"moved", formatTask(record.task), record.run, record.worker});
     case record_kind::ended:
         return json::array(
             {"ended", formatTask(record.task), record.run, static_cast<int>(record.end), record.checkpoint});
@@ -333,11 +364,12 @@
         return record;
     }
     const auto name = parseTask(in.at(1).get<std::string>());
-    if (!name || (kind != "started" && kind != "ended"))
+    if (!name || (kind != "started" && kind != "ended" && kind != "moved"))
         throw std::invalid_argument("malformed journal record: " + in.dump());
     record.task = *name;
     record.run = in.at(2);
-    if (kind == "started") {
+    if (kind != "ended") {
+        record.kind = kind == "moved" ? record_kind::moved : record_kind::started;
         record.worker = in.at(3);
         return record;
     }
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -77,7 +77,10 @@
     jobFailed,
     //! Written by an owner that stops, for a worker that no longer responds: after which time all leases that
     //! it granted to the worker have expired.
-    leaseHandedOver
+    leaseHandedOver,
+    //! The worker of an assigned run has restarted. The run passes on to the new incarnation, which may have
+    //! accepted its start order.
+    moved
 };
 
 //! One durable change of a job_table, as written to the journal.
@@ -86,7 +89,7 @@
     record_kind kind = record_kind::started;
     task_name task; // jobFailed uses only the job
     std::uint32_t run = 0;
-    //! Incarnation of the worker, for started and leaseHandedOver.
+    //! Incarnation of the worker, for started, leaseHandedOver and moved.
     std::string worker;
     run_end end = run_end::done;
     std::string checkpoint;
@@ -133,6 +136,10 @@
 //! Returns the run of \a name that is assigned to \a worker; 0 for none.
 std::uint32_t assignedRun(const job_table &table, std::string_view worker, const task_name &name);
 
+//! Returns records that assign all runs of the incarnation \a from to the incarnation \a to of the same
+//! worker.
+std::vector<journal_record> recordMoves(const job_table &table, std::string_view from, const std::string &to);
+
 //! Encodes \a record for the journal.
 nlohmann::json encodeRecord(const journal_record &record);
 //! Inverse of encodeRecord(). Throws nlohmann::json::exception or std::invalid_argument for a malformed
--- a/src/jobs/job_timing.cpp
+++ b/src/jobs/job_timing.cpp
@@ -21,7 +21,8 @@
 void recordTiming(job_timings &timings, const job_table &table, const journal_record &record, time_point now)
 {
     const auto jobEntry = table.jobs.find(record.task.job);
-    if (record.kind == record_kind::jobFailed || jobEntry == table.jobs.end())
+    const bool startsOrEnds = record.kind == record_kind::started || record.kind == record_kind::ended;
+    if (!startsOrEnds || jobEntry == table.jobs.end())
         return;
     const bool cancelled = jobEntry->second.status == job_status::cancelled;
     if (cancelled && !timings.contains({record.task.job, record.task.occurrence}))
--- a/src/jobs/worker_info.h
+++ b/src/jobs/worker_info.h
@@ -36,6 +36,12 @@
     return worker.id + '@' + std::to_string(worker.bornMs);
 }
 
+//! Inverse of incarnationOf(): the id of the worker.
+inline std::string workerIdOf(std::string_view incarnation)
+{
+    return std::string(incarnation.substr(0, incarnation.rfind('@')));
+}
+
 inline bool hasLabel(const worker_info &worker, std::string_view label)
 {
     return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -72,6 +72,27 @@
     return session;
 }
 
+void restartSession(worker_session &session, std::int64_t bornMs)
+{
+    session.info.bornMs = bornMs;
+    session.incarnation = incarnationOf(session.info);
+    session.listed = false;
+    session.dead = false;
+    session.fenced = false;
+    session.confirmed = false;
+    session.clock.reset();
+    session.unansweredSince = time_point{};
+    session.endsRead = 0;
+    session.endsDurable = 0;
+    session.endsAcknowledged = 0;
+}
+
+bool isOtherIncarnation(const worker_session &session, const poll_response &response)
+{
+    return response.result.outcome == order_outcome::accepted && response.bornMs != 0
+        && response.bornMs != session.info.bornMs;
+}
+
 time_point inheritedLeaseEnd(const session_rules &rules, time_point since)
 {
     return inheritedLeaseEndAfter(rules, since + rules.formerOwnerRenewals);
@@ -116,29 +137,45 @@
         return;
     session.lastResponseAt = now;
     session.unansweredSince = time_point{};
-    if (response.workerClockMs)
-        session.clock = clock_reading{*response.workerClockMs, now};
+    if (!response.workerClockMs)
+        return;
+    // The clock of a new incarnation starts anew.
+    if (session.clock && *response.workerClockMs < session.clock->workerMs)
+        session.confirmed = false;
+    session.clock = clock_reading{*response.workerClockMs, now};
 }
 
 void recordMissingResponse(worker_session &session, time_point sentAt, milliseconds wait)
 {
+    session.confirmed = false;
     // Other orders may have been answered in the meantime, but none after this response was due.
     if (session.unansweredSince == time_point{} && sentAt + wait >= session.lastResponseAt)
         session.unansweredSince = std::max(sentAt, session.lastResponseAt);
 }
 
+std::uint64_t nextAcknowledgement(const worker_session &session)
+{
+    return session.confirmed && hasUnacknowledgedEnds(session) ? session.endsDurable : 0;
+}
+
+bool hasUnacknowledgedEnds(const worker_session &session)
+{
+    return session.endsDurable > session.endsAcknowledged;
+}
+
 std::vector<journal_record> applyPoll(worker_session &session, const poll_response &response,
-                                      const job_table &table, time_point sentAt, time_point now)
+                                      const job_table &table, time_point sentAt, time_point now,
+                                      std::uint64_t acknowledged)
 {
     std::vector<journal_record> records;
+    if (isOtherIncarnation(session, response))
+        return records;
     recordResponse(session, response.result, now);
     if (response.result.outcome != order_outcome::accepted)
         return records;
-    if (response.bornMs != 0 && response.bornMs != session.info.bornMs) {
-        session.dead = true;
-        return records;
-    }
     session.fenced = true;
+    session.confirmed = true;
+    session.endsAcknowledged = std::max(session.endsAcknowledged, acknowledged);
     std::set<task_name> seen;
     for (const running_report &row : response.running) {
         if (assignedRun(table, session.incarnation, row.task) == row.run)
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -32,14 +32,14 @@
     time_point at{};
 };
 
-//! What the current owner knows about one incarnation of a worker: responses, leases, and runs.
+//! What the current owner knows about the present incarnation of a worker: responses, leases, and runs.
 struct worker_session
 {
     worker_info info;
     std::string incarnation;
     //! The host list still contains this incarnation.
     bool listed = true;
-    //! Another incarnation has replaced this one: no run on it is left.
+    //! Another worker responds at the address: no run is left.
     bool dead = false;
     //! The worker has responded in this owner's term and no longer accepts orders of earlier terms.
     bool fenced = false;
@@ -55,6 +55,10 @@
     std::uint64_t endsRead = 0;
     //! Highest number of an ended run that is durable in the journal.
     std::uint64_t endsDurable = 0;
+    //! Highest number of an ended run that was acknowledged to the worker by a poll with a response.
+    std::uint64_t endsAcknowledged = 0;
+    //! The newest poll had a response of this incarnation, and nothing has hinted at a restart since.
+    bool confirmed = false;
     //! Runs that the worker has accepted from this owner, and when.
     std::map<task_name, std::pair<std::uint32_t, time_point>> acceptedRuns;
     //! Runs whose start order has not been answered yet.
@@ -73,6 +77,13 @@
 //! Creates the session of \a worker. Leases of earlier owners may last until \a inheritedLeaseUntil.
 worker_session openSession(const worker_info &worker, time_point inheritedLeaseUntil);
 
+//! Continues \a session with the incarnation of the worker that was born at \a bornMs. The worker may have
+//! accepted start orders under any of its incarnations, since an order names only the worker. What is known
+//! about its runs is therefore kept, and the lists of runs of the new incarnation decide.
+void restartSession(worker_session &session, std::int64_t bornMs);
+//! Returns whether \a response is of another incarnation than \a session.
+bool isOtherIncarnation(const worker_session &session, const poll_response &response);
+
 //! Until when a worker may run tasks of an earlier owner, if the term of this owner began at \a since.
 time_point inheritedLeaseEnd(const session_rules &rules, time_point since);
 
@@ -95,12 +106,20 @@
 //! after \a wait.
 void recordMissingResponse(worker_session &session, time_point sentAt, milliseconds wait = milliseconds(0));
 
+//! Returns up to which number the next poll acknowledges ended runs; 0 for none. Numbers start anew with each
+//! incarnation, and one that has not responded yet must not forget ends that were never read.
+std::uint64_t nextAcknowledgement(const worker_session &session);
+//! Returns whether a poll must acknowledge ended runs that are durable.
+bool hasUnacknowledgedEnds(const worker_session &session);
+
 //! Updates \a session with a poll response. Returns records for what the table does not know yet: ended runs,
-//! and lost runs that the worker no longer has. \a sentAt is the time at which the poll was sent.
+//! and lost runs that the worker no longer has. \a sentAt is the time at which the poll was sent, and
+//! \a acknowledged the number that it acknowledged. Does nothing with a response of another incarnation.
 std::vector<journal_record> applyPoll(worker_session &session, const poll_response &response,
-                                      const job_table &table, time_point sentAt, time_point now);
+                                      const job_table &table, time_point sentAt, time_point now,
+                                      std::uint64_t acknowledged = 0);
 
-//! Returns records for the runs on \a session that are lost because the worker's incarnation has ended or its
+//! Returns records for the runs on \a session that are lost because another worker has its address or its
 //! lease has expired. The lease of a responsive worker is not judged by the clock: its poll responses show
 //! what it runs.
 std::vector<journal_record> expiredRuns(const worker_session &session, const session_rules &rules,
--- a/tests/unit/job_fixtures.h
+++ b/tests/unit/job_fixtures.h
@@ -69,6 +69,16 @@
     return config;
 }
 
+inline jobs::journal_record moved(const jobs::task_name &task, std::uint32_t run, const std::string &worker)
+{
+    jobs::journal_record record;
+    record.kind = jobs::record_kind::moved;
+    record.task = task;
+    record.run = run;
+    record.worker = worker;
+    return record;
+}
+
 inline jobs::journal_record started(const jobs::task_name &task, std::uint32_t run, const std::string &worker)
 {
     jobs::journal_record record;
