Log and count from what an owner concludes that a run is lost

The hypotheses of the incident could not be told apart: a loss by a worker's list left no line at all, and nothing told how many sessions or polls a worker has, or that it came back to the list.

Change: the line "runs counted as lost" with the age of the poll, the acceptance of the start, and the sessions and polls of the worker; "worker is back in the list"; "stop order refused"; metrics almond_runs_lost_total by evidence, almond_worker_sessions_reopened_total, almond_worker_polls_overlapping_total, almond_stops_refused_total.

--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -181,6 +181,15 @@
         jobs::throttle_state throttle;
         jobs::worker_evaluation evaluation;
         bool loopRunning = false;
+        time_point sessionOpenedAt{};
+    };
+    //! What has happened with a worker in this term, over all of its sessions; for logs and metrics only.
+    struct worker_trace
+    {
+        int sessionsOpened = 0;
+        int pollsInFlight = 0;
+        //! When its entry left the list of workers; zero if it has not, or is back.
+        time_point leftListAt{};
     };
     //! Progress of starting one run.
     struct start_attempt
@@ -245,6 +254,9 @@
     void recordEnd(const jobs::journal_record &record, time_point now);
     void recordExpiredRuns(const managed_worker &worker, std::span<const jobs::journal_record> expired,
                            time_point now);
+    void reportUnlistedRuns(const managed_worker &worker, std::span<const jobs::journal_record> records,
+                            time_point sentAt, time_point now) const;
+    void traceListing(const std::string &id, bool listed, bool sessionKept);
     void scanWaiting(time_point now);
     void updateWorkerHealth(managed_worker &worker, const jobs::poll_response &response, time_point now);
     void stopUnwantedRuns(const managed_worker_ptr &worker);
@@ -293,6 +305,7 @@
     std::set<std::string, std::less<>> m_uncommittedJobs;
     std::map<std::string, managed_worker_ptr> m_workers; // by incarnation
     std::map<std::string, std::string> m_incarnations; // of the entries of m_workers, by worker id
+    std::map<std::string, worker_trace> m_traces; // by worker id
     std::set<std::pair<std::string, std::uint32_t>> m_stopping; // task and run
     std::shared_ptr<store::prefix_watcher> m_jobKeys;
     kernel::wake_signal m_commitSignal;
--- a/src/fleet/job_owner_incarnations.cpp
+++ b/src/fleet/job_owner_incarnations.cpp
@@ -4,6 +4,8 @@
 
 #include "observe/log.h"
 
+#include <prometheus/counter.h>
+
 namespace almond::fleet {
 
 using observe::log_level;
@@ -13,6 +15,10 @@
 {
     auto worker = std::make_shared<managed_worker>(m_context.get_executor());
     worker->session = std::move(session);
+    worker->sessionOpenedAt = m_dependencies.clock();
+    worker_trace &trace = m_traces[id];
+    if (++trace.sessionsOpened > 1 && m_dependencies.metrics)
+        m_dependencies.metrics->sessionsReopened->Increment();
     m_workers[incarnation] = worker;
     m_incarnations[id] = incarnation;
     return worker;
@@ -23,12 +29,14 @@
     const auto known = m_incarnations.find(id);
     if (known == m_incarnations.end() && !info)
         return;
+    const bool sessionKept = known != m_incarnations.end();
     managed_worker_ptr worker;
     if (known != m_incarnations.end())
         worker = m_workers.at(known->second);
     else
         worker = addWorker(id, jobs::incarnationOf(*info), jobs::openSession(*info, m_inheritedLeaseEnd));
     worker->listing = info;
+    traceListing(id, info.has_value(), sessionKept);
     if (info && jobs::incarnationOf(*info) != worker->session.incarnation)
         replaceIncarnation(worker, info->bornMs);
     applyListing(*worker);
--- a/src/fleet/job_owner_watch.cpp
+++ b/src/fleet/job_owner_watch.cpp
@@ -1,7 +1,7 @@
 // The part of job_owner that reports which tasks wait and why.
 
 #include "fleet/job_owner.h"
-
+#include "jobs/job_codec.h"
 #include "observe/log.h"
 
 namespace almond::fleet {
@@ -43,6 +43,10 @@
         return;
     const jobs::fleet_config_ptr config = m_dependencies.config();
     const jobs::fleet_view view = makeFleetView(*config, {}, now);
+    if (m_dependencies.metrics)
+        recordLostRuns(*m_dependencies.metrics,
+                       worker.session.dead ? loss_evidence::addressReused : loss_evidence::leaseExpired,
+                       expired.size());
     // Until they are committed, the same expired runs are found on each tick.
     if (jobs::recordExpiredRuns(m_waitMonitor, view, worker.session, expired))
         observe::log(log_level::warning,
@@ -50,6 +54,59 @@
                      jobs::describeExpiry(worker.session, view, expired));
 }
 
+//! Logs the runs among \a records that are lost since the response to a poll that was sent at \a sentAt does
+//! not list them, with what tells a real loss from a wrong one.
+void job_owner::reportUnlistedRuns(const managed_worker &worker, std::span<const journal_record> records,
+                                   time_point sentAt, time_point now) const
+{
+    constexpr std::size_t loggedRuns = 8;
+    json runs = json::array();
+    std::size_t count = 0;
+    for (const journal_record &record : records) {
+        if (record.end != jobs::run_end::lost || ++count > loggedRuns)
+            continue;
+        const auto accepted = worker.session.acceptedRuns.find(record.task);
+        json acceptedBeforeMs = nullptr;
+        if (accepted != worker.session.acceptedRuns.end() && accepted->second.first == record.run)
+            acceptedBeforeMs = (now - accepted->second.second).count();
+        runs.push_back(json{{"task", jobs::formatTask(record.task)},
+                            {"run", record.run},
+                            {"acceptedBeforeMs", std::move(acceptedBeforeMs)}});
+    }
+    if (count == 0)
+        return;
+    if (m_dependencies.metrics)
+        recordLostRuns(*m_dependencies.metrics, loss_evidence::notListed, count);
+    const auto trace = m_traces.find(worker.session.info.id);
+    const worker_trace seen = trace == m_traces.end() ? worker_trace{} : trace->second;
+    observe::log(log_level::info, "runs counted as lost: the worker doesn't list them",
+                 {{"worker", worker.session.incarnation},
+                  {"count", count},
+                  {"runs", std::move(runs)},
+                  {"pollSentBeforeMs", (now - sentAt).count()},
+                  {"pollsInFlight", seen.pollsInFlight},
+                  {"sessionOpenedBeforeMs", (now - worker.sessionOpenedAt).count()},
+                  {"sessionsOfWorker", seen.sessionsOpened},
+                  {"pendingStarts", worker.session.pendingStarts.size()}});
+}
+
+//! Follows how long a worker is missing in the list of workers, and whether its session outlasts that.
+void job_owner::traceListing(const std::string &id, bool listed, bool sessionKept)
+{
+    worker_trace &trace = m_traces[id];
+    const time_point now = m_dependencies.clock();
+    if (!listed) {
+        trace.leftListAt = now;
+    } else if (trace.leftListAt != time_point{}) {
+        observe::log(log_level::info, "worker is back in the list",
+                     {{"worker", id},
+                      {"missingForMs", (now - trace.leftListAt).count()},
+                      {"sessionKept", sessionKept},
+                      {"pollsInFlight", trace.pollsInFlight}});
+        trace.leftListAt = time_point{};
+    }
+}
+
 void job_owner::scanWaiting(time_point now)
 {
     if (now - m_waitMonitor.scannedAt < m_waitMonitor.rules.scanInterval)
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -5,6 +5,8 @@
 #include "jobs/job_codec.h"
 #include "observe/log.h"
 
+#include <prometheus/counter.h>
+
 namespace almond::fleet {
 
 using jobs::journal_record;
@@ -92,7 +94,11 @@
         jobs::recordGrantedLease(worker->session, *order.leaseEndMs, m_dependencies.rules.sessions);
     ++m_counters.polls;
     const std::string incarnation = worker->session.incarnation;
+    worker_trace &trace = m_traces[worker->session.info.id];
+    if (++trace.pollsInFlight > 1 && m_dependencies.metrics)
+        m_dependencies.metrics->overlappingPolls->Increment();
     const jobs::poll_response response = co_await m_dependencies.workers.poll(orderTarget(*worker), order);
+    --trace.pollsInFlight;
     const time_point now = m_dependencies.clock();
     const order_response &result = response.result;
     if (result.outcome == order_outcome::refused && result.refusal == order_refusal::fenced) {
@@ -120,7 +126,10 @@
     const bool firstResponse = !worker->session.fenced;
     updateWorkerHealth(*worker, response, now);
     const std::uint64_t acknowledged = worker->session.incarnation == incarnation ? order.acknowledge : 0;
-    queueRecords(jobs::applyPoll(worker->session, response, m_jobTable, sentAt, now, acknowledged));
+    std::vector<journal_record> records
+        = jobs::applyPoll(worker->session, response, m_jobTable, sentAt, now, acknowledged);
+    reportUnlistedRuns(*worker, records, sentAt, now);
+    queueRecords(std::move(records));
     stopUnwantedRuns(worker);
     throttleBestEffort(worker, now);
     if (firstResponse || worker->session.endsRead > worker->session.endsDurable)
@@ -200,6 +209,16 @@
         if (response.outcome == order_outcome::refused && response.refusal == order_refusal::fenced)
             resign("a worker has seen a later term");
         stopped = response.outcome == order_outcome::accepted || response.outcome == order_outcome::refused;
+        if (response.outcome == order_outcome::refused) {
+            if (m_dependencies.metrics)
+                m_dependencies.metrics->refusedStops->Increment();
+            observe::logLimited(log_level::info, "stop order refused",
+                                {{"task", key.first},
+                                 {"run", run},
+                                 {"worker", worker->session.incarnation},
+                                 {"reason", response.detail}},
+                                m_dependencies.clock());
+        }
         const bool leaseOver = m_dependencies.clock() > jobs::leaseEnd(worker->session);
         if (!stopped && leaseOver)
             break;
--- a/src/fleet/owner_metrics.cpp
+++ b/src/fleet/owner_metrics.cpp
@@ -65,6 +65,32 @@
                              .Help("Time from taking office until the journal and all jobs were read.")
                              .Register(registry)
                              .Add({}, loadBounds);
+    prometheus::Family<prometheus::Counter> &lostRuns
+        = prometheus::BuildCounter()
+              .Name("almond_runs_lost_total")
+              .Help("Runs that were found lost, by the evidence; counted again until the loss is committed.")
+              .Register(registry);
+    constexpr std::array<const char *, lossEvidenceCount> evidenceNames{"not_listed", "lease_expired",
+                                                                        "address_reused"};
+    for (std::size_t evidence = 0; evidence < lossEvidenceCount; ++evidence)
+        metrics.lostRuns.at(evidence) = &lostRuns.Add({{"evidence", evidenceNames.at(evidence)}});
+    metrics.sessionsReopened
+        = &prometheus::BuildCounter()
+               .Name("almond_worker_sessions_reopened_total")
+               .Help("Sessions that were opened for a worker that had one before in the same term.")
+               .Register(registry)
+               .Add({});
+    metrics.overlappingPolls
+        = &prometheus::BuildCounter()
+               .Name("almond_worker_polls_overlapping_total")
+               .Help("Polls that were sent while another poll of the worker had no response.")
+               .Register(registry)
+               .Add({});
+    metrics.refusedStops = &prometheus::BuildCounter()
+                                .Name("almond_stops_refused_total")
+                                .Help("Orders to stop a run that the worker has refused.")
+                                .Register(registry)
+                                .Add({});
     return metrics;
 }
 
@@ -82,6 +108,11 @@
     metrics.longestWait->Set(inSeconds(found.longestWait));
 }
 
+void recordLostRuns(owner_metrics &metrics, loss_evidence evidence, std::size_t count)
+{
+    metrics.lostRuns.at(static_cast<std::size_t>(evidence))->Increment(static_cast<double>(count));
+}
+
 void recordLoadTime(owner_metrics &metrics, milliseconds spent)
 {
     metrics.loadTimes->Observe(inSeconds(spent));
--- a/src/fleet/owner_metrics.h
+++ b/src/fleet/owner_metrics.h
@@ -5,6 +5,8 @@
 #include <prometheus/registry.h>
 
 #include <array>
+#include <cstddef>
+#include <cstdint>
 
 namespace prometheus {
 class Counter;
@@ -14,6 +16,10 @@
 
 namespace almond::fleet {
 
+//! From what an owner concludes that a run is lost.
+enum class loss_evidence : std::uint8_t { notListed, leaseExpired, addressReused };
+inline constexpr std::size_t lossEvidenceCount = 3;
+
 //! Metrics of the owner. Counters keep their values across the terms of one process. The registry owns them.
 struct owner_metrics
 {
@@ -24,6 +30,11 @@
     prometheus::Gauge *longRunningDown = nullptr;
     prometheus::Gauge *longestWait = nullptr;
     prometheus::Histogram *loadTimes = nullptr;
+    //! Indexed by loss_evidence.
+    std::array<prometheus::Counter *, lossEvidenceCount> lostRuns{};
+    prometheus::Counter *sessionsReopened = nullptr;
+    prometheus::Counter *overlappingPolls = nullptr;
+    prometheus::Counter *refusedStops = nullptr;
 };
 
 //! Registers the metrics. \a rules gives the limits on the time a long-running task may be down.
@@ -33,5 +44,8 @@
 void recordFindings(owner_metrics &metrics, const jobs::scan_findings &found);
 //! Records the time that a new owner took to read the journal and all jobs.
 void recordLoadTime(owner_metrics &metrics, kernel::milliseconds spent);
+//! Records that \a count runs were found lost by \a evidence. A run is counted again until its loss is
+//! committed.
+void recordLostRuns(owner_metrics &metrics, loss_evidence evidence, std::size_t count);
 
 } // namespace almond::fleet
--- a/tests/unit/owner_metrics_test.cpp
+++ b/tests/unit/owner_metrics_test.cpp
@@ -45,6 +45,11 @@
     EXPECT_TRUE(fleet.shows("almond_lasting_tasks_waiting 0"));
     EXPECT_TRUE(fleet.shows("almond_lasting_task_longest_wait_seconds 0"));
     EXPECT_TRUE(fleet.shows("almond_jobs_load_seconds_count 0"));
+    EXPECT_TRUE(fleet.shows("almond_worker_sessions_reopened_total 0"));
+    EXPECT_TRUE(fleet.shows("almond_worker_polls_overlapping_total 0"));
+    EXPECT_TRUE(fleet.shows("almond_stops_refused_total 0"));
+    for (const std::string evidence : {"not_listed", "lease_expired", "address_reused"})
+        EXPECT_TRUE(fleet.shows("almond_runs_lost_total{evidence=\"" + evidence + "\"} 0")) << evidence;
     for (const std::string limit : {"6", "9"}) {
         for (std::size_t cause = 0; cause < jobs::waitCauseCount; ++cause) {
             std::string line = "almond_lasting_tasks_over_limit_total{cause=\"";
@@ -55,6 +60,16 @@
     }
 }
 
+TEST(OwnerMetrics, LostRunsAreCountedByEvidence)
+{
+    collected_fleet fleet;
+    fleet::recordLostRuns(fleet.metrics, fleet::loss_evidence::notListed, 2);
+    fleet::recordLostRuns(fleet.metrics, fleet::loss_evidence::addressReused, 1);
+    EXPECT_TRUE(fleet.shows("almond_runs_lost_total{evidence=\"not_listed\"} 2"));
+    EXPECT_TRUE(fleet.shows("almond_runs_lost_total{evidence=\"lease_expired\"} 0"));
+    EXPECT_TRUE(fleet.shows("almond_runs_lost_total{evidence=\"address_reused\"} 1"));
+}
+
 TEST(OwnerMetrics, InterruptedTaskIsCountedAtEachLimitAndItsGapOnce)
 {
     collected_fleet fleet;
