--- a/tests/fakes/fake_fleet.h
+++ b/tests/fakes/fake_fleet.h
@@ -4,6 +4,7 @@
 #include "jobs/worker_api.h"
 #include "kernel/task.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -63,11 +64,20 @@
         };
         port.poll
             = [this](jobs::order_target target, jobs::poll_order order) -> kernel::task<jobs::poll_response> {
+            std::size_t &waiting = pollsInFlight[target.workerId];
+            mostPollsInFlight = std::max(mostPollsInFlight, ++waiting);
+            const kernel::milliseconds delay = pollResponseDelay;
             if (order.wait.count() > 0)
                 co_await kernel::sleepFor(kernel::milliseconds(3));
             if (unresponsive.contains(target.workerId))
                 co_await kernel::sleepFor(responseTimeout);
-            co_return unresponsive.contains(target.workerId) ? jobs::poll_response() : look(target, order);
+            jobs::poll_response response;
+            if (!unresponsive.contains(target.workerId))
+                response = look(target, order);
+            if (delay.count() > 0)
+                co_await kernel::sleepFor(delay);
+            --waiting;
+            co_return response;
         };
         port.throttle = [](jobs::order_target, jobs::task_name, std::uint32_t,
                            int) -> kernel::task<jobs::order_response> { co_return jobs::order_response(); };
@@ -117,6 +127,11 @@
     //! By run: how long its start orders, or the responses to them, are under way.
     std::map<std::uint32_t, kernel::milliseconds> startOrderDelays;
     std::map<std::uint32_t, kernel::milliseconds> startResponseDelays;
+    //! How long the responses to the polls that are sent from now on are under way.
+    kernel::milliseconds pollResponseDelay{0};
+    //! By worker: polls without a response yet. An owner has one at a time.
+    std::map<std::string, std::size_t> pollsInFlight;
+    std::size_t mostPollsInFlight = 0;
     //! Runs succeed as soon as they start.
     bool endImmediately = false;
     //! A repeated start order is refused as by an unhealthy worker, whatever the outcome of the first one.
