Keep one session and one polling loop for each worker

Cause: a worker that had left the list and had no runs was forgotten while its polling loop still waited for a response. If its entry came back first, the worker got a second session and a second loop. The first loop only looked whether the incarnation was known, and went on. Its session knew no start orders of the second one, so that a list made before a start arrived showed the run as lost, and the planner started it again.

Evidence: relisted_worker_test on the code before: two starts, two polls in flight, sessionsOfWorker 2. Ruled out there: a lost response (each is answered), the lease (nothing expires).

Change: worker_registry owns the workers of a term. Whatever acts on a worker holds its pointer, and an entry is removed only when nothing does; adding a second session for an id is an error. The loop of an unused worker ends first, then the entry goes. A worker that comes back earlier is found again with its session and loop.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -33,7 +33,7 @@
     adoptUnlistedRuns();
     applyHandedOverLeases();
     collectInheritedFailures();
-    for (const auto &[incarnation, worker] : m_workers)
+    for (const auto &[incarnation, worker] : m_workers.workers())
         startWorkerLoop(worker);
     m_commitLoopRunning = true;
     kernel::spawn(m_context.get_executor(), commitLoop(shared_from_this()));
@@ -58,7 +58,7 @@
     m_resigned = true;
     if (m_jobKeys)
         m_jobKeys->stop();
-    for (const auto &[incarnation, worker] : m_workers)
+    for (const auto &[incarnation, worker] : m_workers.workers())
         worker->signal.wake();
     m_commitSignal.wake();
     observe::log(log_level::info, "no longer the owner", {{"term", m_term.term}, {"reason", reason}});
@@ -109,7 +109,7 @@
 {
     batch next;
     applyQueuedRecords(next, now);
-    for (const auto &[incarnation, worker] : m_workers) {
+    for (const auto &[incarnation, worker] : m_workers.workers()) {
         if (worker->session.endsRead > worker->session.endsDurable)
             next.endNumbers[incarnation] = worker->session.endsRead;
     }
@@ -123,7 +123,8 @@
                 continue;
             // Until the outcome of the start order is known, a worker that does not report the run has not
             // lost it.
-            jobs::recordPendingStart(m_workers.at(record.worker)->session, record.task, record.run);
+            jobs::recordPendingStart(m_workers.findIncarnation(record.worker)->session, record.task,
+                                     record.run);
             next.records.push_back(std::move(record));
         }
     }
@@ -169,7 +170,7 @@
     const jobs::waiting_demand waiting = jobs::waitingDemand(m_jobTable);
     std::vector<jobs::candidate> usable;
     usable.reserve(m_workers.size());
-    for (const auto &[incarnation, worker] : m_workers) {
+    for (const auto &[incarnation, worker] : m_workers.workers()) {
         const jobs::worker_session &session = worker->session;
         if (!ignoreQuarantine && placement::isQuarantined(worker->evaluation.health, now))
             continue;
@@ -194,7 +195,8 @@
 
 bool job_owner::tooManyQuarantined(time_point now) const
 {
-    const auto quarantined = std::count_if(m_workers.begin(), m_workers.end(), [now](const auto &entry) {
+    const auto &all = m_workers.workers();
+    const auto quarantined = std::count_if(all.begin(), all.end(), [now](const auto &entry) {
         return placement::isQuarantined(entry.second->evaluation.health, now);
     });
     return static_cast<double>(quarantined)
@@ -255,19 +257,19 @@
 {
     m_uncommittedJobs.clear();
     for (const auto &[incarnation, number] : next.endNumbers) {
-        const auto worker = m_workers.find(incarnation);
-        if (worker == m_workers.end() || worker->second->session.endsDurable >= number)
+        const managed_worker_ptr worker = m_workers.findIncarnation(incarnation);
+        if (!worker || worker->session.endsDurable >= number)
             continue;
-        worker->second->session.endsDurable = number;
-        worker->second->signal.wake();
+        worker->session.endsDurable = number;
+        worker->signal.wake();
     }
     for (const journal_record &record : next.records) {
         if (record.kind != jobs::record_kind::started)
             continue;
         // The worker may have restarted while the record was written.
-        const std::string &incarnation = m_incarnations.at(jobs::workerIdOf(record.worker));
-        kernel::spawn(m_context.get_executor(),
-                      startTask(shared_from_this(), m_workers.at(incarnation), record));
+        kernel::spawn(
+            m_context.get_executor(),
+            startTask(shared_from_this(), m_workers.findId(jobs::workerIdOf(record.worker)), record));
     }
 }
 
@@ -284,20 +286,13 @@
 {
     while (!m_resigned) {
         const time_point now = m_dependencies.clock();
-        for (auto entry = m_workers.begin(); entry != m_workers.end();) {
-            const managed_worker_ptr &worker = entry->second;
+        for (const auto &[incarnation, worker] : m_workers.workers()) {
             std::vector<journal_record> expired
                 = jobs::expiredRuns(worker->session, m_dependencies.rules.sessions, m_jobTable, now);
             recordExpiredRuns(*worker, expired, now);
             queueRecords(std::move(expired));
-            const bool removable = (worker->session.dead || !worker->session.listed)
-                && !m_jobTable.loads.contains(entry->first) && worker->session.pendingStarts.empty();
-            if (removable) {
-                worker->signal.wake();
-                m_incarnations.erase(worker->session.info.id);
-            }
-            entry = removable ? m_workers.erase(entry) : std::next(entry);
         }
+        m_workers.removeUnused([this](const managed_worker &worker) { return isUnused(worker); });
         scanWaiting(now);
         if (!m_jobTable.jobsWithWaitingTasks.empty() || !m_jobTable.timers.empty())
             m_commitSignal.wake();
@@ -306,6 +301,7 @@
                                now - m_dependencies.rules.loadValidity);
             savePairsIfDue(now);
             jobs::pruneStepDurations(m_stepDurations, m_jobTable);
+            pruneTraces(now);
             m_modelRefreshedAt = now;
         }
         co_await kernel::sleepFor(m_dependencies.rules.tickInterval);
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -2,6 +2,7 @@
 
 #include "fleet/owner_election.h"
 #include "fleet/owner_metrics.h"
+#include "fleet/worker_registry.h"
 #include "jobs/interference.h"
 #include "jobs/job_timing.h"
 #include "jobs/planner.h"
@@ -167,22 +168,6 @@
     const owner_counters &counters() const { return m_counters; }
 
 private:
-    struct managed_worker
-    {
-        explicit managed_worker(const boost::asio::any_io_executor &executor)
-            : signal(executor)
-        {
-        }
-        jobs::worker_session session;
-        //! What the list of workers says at present; nothing if the worker is not listed.
-        std::optional<jobs::worker_info> listing;
-        kernel::wake_signal signal;
-        time_point refusedAt{};
-        jobs::throttle_state throttle;
-        jobs::worker_evaluation evaluation;
-        bool loopRunning = false;
-        time_point sessionOpenedAt{};
-    };
     //! What has happened with a worker in this term, over all of its sessions; for logs and metrics only.
     struct worker_trace
     {
@@ -199,7 +184,6 @@
         //! A start order without a response may have been executed.
         bool mayHaveArrived = false;
     };
-    using managed_worker_ptr = std::shared_ptr<managed_worker>;
     using self_ptr = std::shared_ptr<job_owner>;
     struct batch
     {
@@ -257,6 +241,7 @@
     void reportUnlistedRuns(const managed_worker &worker, std::span<const jobs::journal_record> records,
                             time_point sentAt, time_point now) const;
     void traceListing(const std::string &id, bool listed, bool sessionKept);
+    void pruneTraces(time_point now);
     void scanWaiting(time_point now);
     void updateWorkerHealth(managed_worker &worker, const jobs::poll_response &response, time_point now);
     void stopUnwantedRuns(const managed_worker_ptr &worker);
@@ -267,8 +252,9 @@
     milliseconds pollWaitFor(const managed_worker &worker) const;
     jobs::order_target orderTarget(const managed_worker &worker) const;
     void startWorkerLoop(const managed_worker_ptr &worker);
-    managed_worker_ptr addWorker(const std::string &id, const std::string &incarnation,
-                                 jobs::worker_session session);
+    managed_worker_ptr addWorker(jobs::worker_session session);
+    //! Whether the owner has nothing left to do at \a worker.
+    bool isUnused(const managed_worker &worker) const;
     void applyListing(managed_worker &worker);
     void replaceIncarnation(const managed_worker_ptr &worker, std::int64_t bornMs);
     void moveRuns(const std::string &from, const std::string &to);
@@ -303,8 +289,7 @@
     std::vector<jobs::task_name> m_failedTasks;
     //! Jobs with records that are not committed yet.
     std::set<std::string, std::less<>> m_uncommittedJobs;
-    std::map<std::string, managed_worker_ptr> m_workers; // by incarnation
-    std::map<std::string, std::string> m_incarnations; // of the entries of m_workers, by worker id
+    worker_registry m_workers;
     std::map<std::string, worker_trace> m_traces; // by worker id
     std::set<std::pair<std::string, std::uint32_t>> m_stopping; // task and run
     std::shared_ptr<store::prefix_watcher> m_jobKeys;
--- a/src/fleet/job_owner_handover.cpp
+++ b/src/fleet/job_owner_handover.cpp
@@ -97,7 +97,7 @@
     batch last;
     applyQueuedRecords(last, now);
     std::size_t leases = 0;
-    for (const auto &[incarnation, worker] : m_workers) {
+    for (const auto &[incarnation, worker] : m_workers.workers()) {
         const jobs::worker_session &session = worker->session;
         const bool unanswered = session.unansweredSince != time_point{} || session.info.address.empty();
         if (!unanswered || !m_jobTable.loads.contains(incarnation))
@@ -124,11 +124,11 @@
 void job_owner::applyHandedOverLeases()
 {
     for (const auto &[incarnation, lease] : m_jobTable.handedLeases) {
-        const auto worker = m_workers.find(incarnation);
+        const managed_worker_ptr worker = m_workers.findIncarnation(incarnation);
         // If there was an owner in between, it may have granted longer leases.
-        if (lease.term + 1 != m_term.term || worker == m_workers.end())
+        if (lease.term + 1 != m_term.term || !worker)
             continue;
-        time_point &until = worker->second->session.inheritedLeaseUntil;
+        time_point &until = worker->session.inheritedLeaseUntil;
         until = std::min(until, m_termStart + lease.left);
     }
 }
@@ -138,7 +138,7 @@
     const time_point until
         = jobs::inheritedLeaseEndAfter(m_dependencies.rules.sessions, m_dependencies.clock());
     m_inheritedLeaseEnd = std::min(m_inheritedLeaseEnd, until);
-    for (const auto &[incarnation, worker] : m_workers)
+    for (const auto &[incarnation, worker] : m_workers.workers())
         worker->session.inheritedLeaseUntil = std::min(worker->session.inheritedLeaseUntil, until);
     observe::log(log_level::info, "all former owners have stopped renewing task leases",
                  {{"term", m_term.term},
--- a/src/fleet/job_owner_incarnations.cpp
+++ b/src/fleet/job_owner_incarnations.cpp
@@ -10,31 +10,28 @@
 
 using observe::log_level;
 
-job_owner::managed_worker_ptr job_owner::addWorker(const std::string &id, const std::string &incarnation,
-                                                   jobs::worker_session session)
+managed_worker_ptr job_owner::addWorker(jobs::worker_session session)
 {
-    auto worker = std::make_shared<managed_worker>(m_context.get_executor());
-    worker->session = std::move(session);
-    worker->sessionOpenedAt = m_dependencies.clock();
-    worker_trace &trace = m_traces[id];
+    worker_trace &trace = m_traces[session.info.id];
     if (++trace.sessionsOpened > 1 && m_dependencies.metrics)
         m_dependencies.metrics->sessionsReopened->Increment();
-    m_workers[incarnation] = worker;
-    m_incarnations[id] = incarnation;
-    return worker;
+    return m_workers.add(m_context.get_executor(), std::move(session), m_dependencies.clock());
+}
+
+bool job_owner::isUnused(const managed_worker &worker) const
+{
+    return (worker.session.dead || !worker.session.listed)
+        && !m_jobTable.loads.contains(worker.session.incarnation) && worker.session.pendingStarts.empty();
 }
 
 void job_owner::updateWorker(const std::string &id, const std::optional<jobs::worker_info> &info)
 {
-    const auto known = m_incarnations.find(id);
-    if (known == m_incarnations.end() && !info)
+    managed_worker_ptr worker = m_workers.findId(id);
+    if (!worker && !info)
         return;
-    const bool sessionKept = known != m_incarnations.end();
-    managed_worker_ptr worker;
-    if (known != m_incarnations.end())
-        worker = m_workers.at(known->second);
-    else
-        worker = addWorker(id, jobs::incarnationOf(*info), jobs::openSession(*info, m_inheritedLeaseEnd));
+    const bool sessionKept = worker != nullptr;
+    if (!worker)
+        worker = addWorker(jobs::openSession(*info, m_inheritedLeaseEnd));
     worker->listing = info;
     traceListing(id, info.has_value(), sessionKept);
     if (info && jobs::incarnationOf(*info) != worker->session.incarnation)
@@ -64,14 +61,11 @@
 void job_owner::replaceIncarnation(const managed_worker_ptr &worker, std::int64_t bornMs)
 {
     const std::string earlier = worker->session.incarnation;
-    jobs::restartSession(worker->session, bornMs);
+    m_workers.restart(worker, bornMs);
     const std::string present = worker->session.incarnation;
     worker->throttle = {};
     worker->evaluation = {};
     worker->refusedAt = time_point{};
-    m_workers.erase(earlier);
-    m_workers[present] = worker;
-    m_incarnations[worker->session.info.id] = present;
     observe::log(
         log_level::info, "worker has restarted",
         {{"worker", present}, {"earlier", earlier}, {"pendingStarts", worker->session.pendingStarts.size()}});
@@ -95,21 +89,20 @@
 {
     std::vector<std::string> unlisted;
     for (const auto &[incarnation, load] : m_jobTable.loads) {
-        if (!m_workers.contains(incarnation))
+        if (!m_workers.findIncarnation(incarnation))
             unlisted.push_back(incarnation);
     }
     for (const std::string &incarnation : unlisted) {
         const std::string id = jobs::workerIdOf(incarnation);
-        const auto known = m_incarnations.find(id);
-        if (known != m_incarnations.end()) {
-            moveRuns(incarnation, known->second);
+        if (const managed_worker_ptr known = m_workers.findId(id)) {
+            moveRuns(incarnation, known->session.incarnation);
             continue;
         }
         jobs::worker_session session = jobs::openSession({}, m_inheritedLeaseEnd);
         session.info.id = id;
         session.incarnation = incarnation;
         session.listed = false;
-        addWorker(id, incarnation, std::move(session));
+        addWorker(std::move(session));
     }
 }
 
--- a/src/fleet/job_owner_load.cpp
+++ b/src/fleet/job_owner_load.cpp
@@ -142,12 +142,12 @@
     jobs::takeEndedTimings(m_timings, m_jobTable, id);
     observe::log(log_level::info, "job cancelled", {{"job", id}, {"wasOpen", cancelled}});
     for (const auto &[incarnation, load] : m_jobTable.loads) {
-        const auto worker = m_workers.find(incarnation);
+        const managed_worker_ptr worker = m_workers.findIncarnation(incarnation);
         const auto first = load.runs.lower_bound(jobs::task_name{id, 0, 0, 0});
         for (auto run = first; run != load.runs.end() && run->first.job == id; ++run) {
-            if (worker != m_workers.end())
+            if (worker)
                 kernel::spawn(m_context.get_executor(),
-                              stopRun(shared_from_this(), worker->second, run->first, run->second));
+                              stopRun(shared_from_this(), worker, run->first, run->second));
         }
     }
 }
--- a/src/fleet/job_owner_watch.cpp
+++ b/src/fleet/job_owner_watch.cpp
@@ -107,6 +107,17 @@
     }
 }
 
+//! Forgets workers that have been gone for so long that nothing of their past acts any more.
+void job_owner::pruneTraces(time_point now)
+{
+    constexpr milliseconds retention{60'000};
+    std::erase_if(m_traces, [&](const auto &entry) {
+        const worker_trace &trace = entry.second;
+        const bool gone = trace.leftListAt != time_point{} && now - trace.leftListAt > retention;
+        return gone && trace.pollsInFlight == 0 && !m_workers.findId(entry.first);
+    });
+}
+
 void job_owner::scanWaiting(time_point now)
 {
     if (now - m_waitMonitor.scannedAt < m_waitMonitor.rules.scanInterval)
@@ -114,7 +125,7 @@
     const bool ignoreQuarantine = tooManyQuarantined(now);
     std::vector<jobs::worker_view> workers;
     workers.reserve(m_workers.size());
-    for (const auto &[incarnation, worker] : m_workers) {
+    for (const auto &[incarnation, worker] : m_workers.workers()) {
         const auto load = m_jobTable.loads.find(incarnation);
         workers.push_back({&worker->session, load == m_jobTable.loads.end() ? nullptr : &load->second,
                            !ignoreQuarantine && placement::isQuarantined(worker->evaluation.health, now),
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -52,10 +52,7 @@
 
 task<void> job_owner::workerLoop(self_ptr, managed_worker_ptr worker)
 {
-    while (!m_resigned && !worker->session.dead) {
-        const bool managed = m_workers.contains(worker->session.incarnation);
-        if (!managed)
-            break;
+    while (!m_resigned && !worker->session.dead && !isUnused(*worker)) {
         if (!needsPoll(*worker, m_dependencies.clock())) {
             co_await worker->signal.wait(m_dependencies.rules.clockValidity);
             continue;
