Apply no response of an earlier incarnation to a restarted worker

What callers see: a task that a restarted worker is running starts elsewhere as well (TWICE), or its worker keeps it longer than the owner counts on.

Responses to start, stop and throttle orders and failed polls changed the session of whatever incarnation was present when they came. A 421 at the address that the worker had before its restart ended the new incarnation's runs; the clock of the earlier one was taken for that of the new one.

Change: what an order's response says of the worker counts only if the worker is still the incarnation that the order was sent to. A 421 to any order, not only to a start or a poll, ends that incarnation.

--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -181,6 +181,8 @@
     {
         int number = 0;
         time_point sentAt{};
+        //! Incarnation of the worker when the order was sent.
+        std::string sentTo;
         //! A start order without a response may have been executed.
         bool mayHaveArrived = false;
     };
@@ -226,6 +228,8 @@
     void watchJobKeys();
     void savePairsIfDue(time_point now);
     void updateTimings(const std::vector<jobs::journal_record> &records, time_point now);
+    void applyOrderResponse(managed_worker &worker, const std::string &sentTo,
+                            const jobs::order_response &response);
     bool handleStartResponse(managed_worker &worker, const jobs::journal_record &record,
                              const jobs::order_response &response, const start_attempt &attempt);
     std::string startObstacle(const managed_worker &worker, time_point now) const;
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -102,21 +102,23 @@
         resign("a worker has seen a later term");
         co_return;
     }
-    if (result.outcome == order_outcome::refused && result.refusal == order_refusal::otherIncarnation)
+    const bool restarted = worker->session.incarnation != incarnation;
+    if (result.refusal == order_refusal::otherIncarnation && !restarted)
         worker->session.dead = true;
     if (result.outcome != order_outcome::accepted) {
         ++m_counters.pollsFailed;
-        jobs::recordMissingResponse(worker->session, sentAt, order.wait);
+        if (!restarted)
+            jobs::recordMissingResponse(worker->session, sentAt, order.wait);
         observe::log(log_level::info, "failed to poll a worker",
                      {{"worker", worker->session.incarnation}, {"detail", result.detail}});
         co_await kernel::sleepFor(m_dependencies.rules.retryDelay);
         co_return;
     }
+    // The list of workers may have named the new incarnation while a response of the earlier one was under
+    // way.
+    if (restarted && response.bornMs != worker->session.info.bornMs)
+        co_return;
     if (jobs::isOtherIncarnation(worker->session, response)) {
-        // The list of workers may have named the new incarnation while a response of the earlier one was
-        // under way.
-        if (worker->session.incarnation != incarnation)
-            co_return;
         replaceIncarnation(worker, response.bornMs);
         applyListing(*worker);
     }
@@ -178,12 +180,26 @@
     }
 }
 
+//! Records what \a response to an order tells of the incarnation \a sentTo. If the worker has restarted
+//! since, that is nothing about the present one: the clock starts anew, and another worker may have the
+//! address.
+void job_owner::applyOrderResponse(managed_worker &worker, const std::string &sentTo,
+                                   const order_response &response)
+{
+    if (worker.session.incarnation != sentTo)
+        return;
+    jobs::recordResponse(worker.session, response, m_dependencies.clock());
+    if (response.refusal == order_refusal::otherIncarnation)
+        worker.session.dead = true;
+}
+
 task<void> job_owner::sendThrottleOrder(self_ptr, managed_worker_ptr worker, jobs::throttle_order order)
 {
     ++m_counters.throttleOrders;
+    const std::string sentTo = worker->session.incarnation;
     const order_response response = co_await m_dependencies.workers.throttle(orderTarget(*worker), order.task,
                                                                              order.run, order.percent);
-    jobs::recordResponse(worker->session, response, m_dependencies.clock());
+    applyOrderResponse(*worker, sentTo, response);
     const bool settled
         = response.outcome == order_outcome::accepted || response.outcome == order_outcome::refused;
     // The next poll decides again.
@@ -201,8 +217,9 @@
     ++m_counters.stops;
     bool stopped = false;
     while (!stopped && !m_resigned && !worker->session.dead) {
+        const std::string sentTo = worker->session.incarnation;
         const order_response response = co_await m_dependencies.workers.stop(orderTarget(*worker), name, run);
-        jobs::recordResponse(worker->session, response, m_dependencies.clock());
+        applyOrderResponse(*worker, sentTo, response);
         if (response.outcome == order_outcome::refused && response.refusal == order_refusal::fenced)
             resign("a worker has seen a later term");
         stopped = response.outcome == order_outcome::accepted || response.outcome == order_outcome::refused;
@@ -251,7 +268,7 @@
     if (response.outcome == order_outcome::expired)
         return false;
     const time_point now = m_dependencies.clock();
-    jobs::recordResponse(worker.session, response, now);
+    applyOrderResponse(worker, attempt.sentTo, response);
     // An obsolete run has ended on the worker, or was stopped before its start order arrived; the next poll
     // shows which.
     const bool runExists = response.outcome == order_outcome::accepted
@@ -271,8 +288,6 @@
         resign("a worker has seen a later term");
         return true;
     }
-    if (response.refusal == order_refusal::otherIncarnation)
-        worker.session.dead = true;
     worker.refusedAt = now;
     // The refusal concerns this order only; an earlier one without a response may have been executed.
     if (attempt.mayHaveArrived && !worker.session.dead)
@@ -324,6 +339,7 @@
             break;
         }
         attempt.sentAt = m_dependencies.clock();
+        attempt.sentTo = worker->session.incarnation;
         const auto leaseEnd
             = jobs::nextLeaseEnd(worker->session, m_dependencies.rules.sessions, attempt.sentAt);
         jobs::recordGrantedLease(worker->session, leaseEnd.value_or(0), m_dependencies.rules.sessions);
--- a/tests/fakes/fake_fleet.h
+++ b/tests/fakes/fake_fleet.h
@@ -50,7 +50,15 @@
                 co_await kernel::sleepFor(responseTimeout);
             if (unresponsive.contains(target.workerId))
                 co_return jobs::order_response();
+            ++startOrders;
+            if (lateStarts > 0) {
+                --lateStarts;
+                kernel::spawn(co_await boost::asio::this_coro::executor, startLate(target, order));
+                co_return jobs::order_response();
+            }
             co_await waitFor(startOrderDelays, order.run);
+            if (reusedAddresses.contains(target.address))
+                co_return addressReused();
             const jobs::order_response response = start(target, order);
             co_await waitFor(startResponseDelays, order.run);
             co_return response;
@@ -59,7 +67,20 @@
                            std::uint32_t run) -> kernel::task<jobs::order_response> {
             if (!acceptsTerm(target))
                 co_return refused(target.workerId, jobs::order_refusal::fenced);
-            end(target.workerId, jobs::formatTask(name), run, jobs::run_end::stopped);
+            if (stopsToRefuse > 0) {
+                --stopsToRefuse;
+                co_return refused(target.workerId, jobs::order_refusal::unhealthy);
+            }
+            const std::string task = jobs::formatTask(name);
+            // A run that is not there yet will be refused.
+            run_state &known = workers[target.workerId].runs[task];
+            if (known.run < run)
+                known = {run, true};
+            if (stopTime.count() > 0)
+                kernel::spawn(co_await boost::asio::this_coro::executor,
+                              endLater(target.workerId, task, run, stopTime));
+            else
+                end(target.workerId, task, run, jobs::run_end::stopped);
             co_return accepted(target.workerId);
         };
         port.poll
@@ -72,7 +93,9 @@
             if (unresponsive.contains(target.workerId))
                 co_await kernel::sleepFor(responseTimeout);
             jobs::poll_response response;
-            if (!unresponsive.contains(target.workerId))
+            if (reusedAddresses.contains(target.address))
+                response.result = addressReused();
+            else if (!unresponsive.contains(target.workerId))
                 response = look(target, order);
             if (delay.count() > 0)
                 co_await kernel::sleepFor(delay);
@@ -127,6 +150,21 @@
     //! By run: how long its start orders, or the responses to them, are under way.
     std::map<std::uint32_t, kernel::milliseconds> startOrderDelays;
     std::map<std::uint32_t, kernel::milliseconds> startResponseDelays;
+    //! Number of start orders, including those that get no response.
+    int startOrders = 0;
+    //! Number of next start orders that get no response and are executed lateStartTime later.
+    int lateStarts = 0;
+    kernel::milliseconds lateStartTime{400};
+    //! Number of next stop orders that are refused as by an unhealthy worker.
+    int stopsToRefuse = 0;
+    //! How long a run goes on after the order to stop it was accepted.
+    kernel::milliseconds stopTime{0};
+    //! Addresses at which another worker responds.
+    std::set<std::string> reusedAddresses;
+    //! Longest lease that was granted, from the worker's clock at that moment.
+    std::int64_t longestLeaseMs = 0;
+    //! Ends of the leases that start orders granted.
+    std::vector<std::int64_t> startLeaseEnds;
     //! How long the responses to the polls that are sent from now on are under way.
     kernel::milliseconds pollResponseDelay{0};
     //! By worker: polls without a response yet. An owner has one at a time.
@@ -145,11 +183,37 @@
             co_await kernel::sleepFor(delay->second);
     }
 
+    kernel::task<void> startLate(jobs::order_target target, jobs::start_order order)
+    {
+        co_await kernel::sleepFor(lateStartTime);
+        start(target, order);
+    }
+
+    kernel::task<void> endLater(std::string worker, std::string task, std::uint32_t run,
+                                kernel::milliseconds delay)
+    {
+        co_await kernel::sleepFor(delay);
+        end(worker, task, run, jobs::run_end::stopped);
+    }
+
+    static jobs::order_response addressReused()
+    {
+        jobs::order_response response;
+        response.outcome = jobs::order_outcome::refused;
+        response.refusal = jobs::order_refusal::otherIncarnation;
+        return response;
+    }
+
+    std::int64_t clockOf(const std::string &worker)
+    {
+        return kernel::toMillis(kernel::monotonicNow()) - workers[worker].clockBeganMs;
+    }
+
     jobs::order_response accepted(const std::string &worker)
     {
         jobs::order_response response;
         response.outcome = jobs::order_outcome::accepted;
-        response.workerClockMs = kernel::toMillis(kernel::monotonicNow()) - workers[worker].clockBeganMs;
+        response.workerClockMs = clockOf(worker);
         return response;
     }
 
@@ -174,6 +238,8 @@
     {
         if (!acceptsTerm(target))
             return refused(target.workerId, jobs::order_refusal::fenced);
+        startLeaseEnds.push_back(order.leaseEndMs);
+        longestLeaseMs = std::max(longestLeaseMs, order.leaseEndMs - clockOf(target.workerId));
         const std::string task = jobs::formatTask(order.task);
         run_state &run = workers[target.workerId].runs[task];
         if (refuseRepeatedStarts && run.run == order.run)
@@ -208,6 +274,8 @@
         }
         response.result = accepted(target.workerId);
         worker_state &state = workers[target.workerId];
+        if (order.leaseEndMs)
+            longestLeaseMs = std::max(longestLeaseMs, *order.leaseEndMs - clockOf(target.workerId));
         response.bornMs = state.bornMs;
         state.acknowledged = std::max(state.acknowledged, order.acknowledge);
         for (const auto &[task, run] : state.runs) {
--- /dev/null
+++ b/tests/unit/earlier_incarnation_response_test.cpp
@@ -0,0 +1,73 @@
+#include "tests/unit/owner_fixture.h"
+
+//! Responses that belong to an earlier incarnation of a worker, and arrive when the new one is known.
+namespace {
+
+using namespace almond;
+using kernel::milliseconds;
+
+class earlier_incarnation_response_test : public tests::owner_fixture
+{
+protected:
+    static constexpr const char *earlierJob = "00000000000000bb";
+    static constexpr const char *newAddress = "10.0.0.2:80";
+
+    void listOtherWorker()
+    {
+        jobs::worker_info other = tests::worker("v");
+        other.address = "10.0.0.3:80";
+        owner->updateWorker("v", other);
+    }
+
+    void restart(const std::string &address)
+    {
+        workers.restart("w");
+        jobs::worker_info info = tests::worker("w");
+        info.bornMs = 2;
+        info.address = address;
+        owner->updateWorker("w", info);
+    }
+};
+
+//! Another worker took the address that a worker had before its restart, and turned a late start order away.
+//! The owner concluded that the restarted worker was gone, and started what that one was running elsewhere
+//! (TWICE).
+TEST_F(earlier_incarnation_response_test, RefusalAtTheEarlierAddressDoesNotEndTheNewIncarnation)
+{
+    workers.startOrderDelays[1] = milliseconds(500);
+    accept(tests::makeJob(earlierJob, {tests::step(1, 500)}));
+    ASSERT_TRUE(runUntil([this] { return workers.startOrders == 1; }));
+    workers.startOrderDelays.clear();
+    restart(newAddress);
+    workers.reusedAddresses.insert(tests::worker("w").address);
+    accept(tests::makeJob(tests::onlyJob, {tests::step(1, 500)}));
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 1; }));
+    listOtherWorker();
+    runFor(milliseconds(1200));
+    EXPECT_EQ(workers.overlappingStarts, 0);
+    workers.endAll(jobs::run_end::done);
+    EXPECT_TRUE(runUntil([this] { return owner->statusOf(tests::onlyJob) == jobs::job_status::completed; }));
+}
+
+//! The clock in a late response of the earlier incarnation counted as that of the new one, whose clock starts
+//! anew. The leases granted by it lasted as long as the worker allows, and the owner took them for shorter.
+TEST_F(earlier_incarnation_response_test, ClockOfTheEarlierIncarnationIsNotUsedForTheNewOne)
+{
+    workers.startResponseDelays[1] = milliseconds(400);
+    accept(tests::makeJob(earlierJob, {tests::step(2, 500)}));
+    ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 2; }));
+    workers.startResponseDelays.clear();
+    restart(tests::worker("w").address);
+    runFor(milliseconds(100));
+    workers.longestLeaseMs = 0;
+    // No poll corrects the clock before the next start.
+    workers.pollResponseDelay = milliseconds(900);
+    runFor(milliseconds(450));
+    accept(tests::makeJob(tests::onlyJob, {tests::step(1, 500)}));
+    ASSERT_TRUE(runUntil([this] { return workers.longestLeaseMs > 0; }));
+    runFor(milliseconds(50));
+    EXPECT_GT(workers.longestLeaseMs, 0);
+    EXPECT_LE(workers.longestLeaseMs, jobs::session_rules{}.lease.count());
+}
+
+} // namespace
