Take a stop order that a worker turns away as not carried out

What callers see: a task runs twice at once (TWICE), where a worker left a start order unanswered and then turned the order to stop it away (429 or 503, which mean that it has done nothing).

Cause: stopRun() ended with any refusal. Also, whoever waited for a stop that another part had already ordered went on at once. The run counted as stopped, the next list of the worker lacked it, the task started elsewhere, and the late start order was carried out beside it.

Change: only acceptance, or the word that the run or a later one has ended, settles a stop. Everything else is repeated until the worker's leases are over. Who waits for a stop waits for the order that is under way.

Measured: unconfirmed_stop_test TaskIsNotStartedElsewhereAfterARefusedStop fails before (one overlapping start), passes now; fleet_test passes (19).

--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -17,6 +17,19 @@
 using kernel::task;
 using observe::log_level;
 
+namespace {
+
+//! Whether the worker has carried out an order to stop a run. One that turns it away, for example because it
+//! is overloaded, has done nothing: the run may go on, or begin when its start order arrives.
+bool isStopped(const order_response &response)
+{
+    const bool obsolete
+        = response.outcome == order_outcome::refused && response.refusal == order_refusal::obsolete;
+    return response.outcome == order_outcome::accepted || obsolete;
+}
+
+} // namespace
+
 void job_owner::startWorkerLoop(const managed_worker_ptr &worker)
 {
     if (worker->loopRunning || worker->session.info.address.empty())
@@ -212,8 +225,14 @@
 task<void> job_owner::stopRun(self_ptr, managed_worker_ptr worker, jobs::task_name name, std::uint32_t run)
 {
     const std::pair<std::string, std::uint32_t> key(jobs::formatTask(name), run);
-    if (m_resigned || !m_stopping.insert(key).second)
+    if (m_resigned)
+        co_return;
+    if (!m_stopping.insert(key).second) {
+        // Whoever waits for the stop must not go on before the other order is settled.
+        while (!m_resigned && m_stopping.contains(key))
+            co_await kernel::sleepFor(m_dependencies.rules.retryDelay);
         co_return;
+    }
     ++m_counters.stops;
     bool stopped = false;
     while (!stopped && !m_resigned && !worker->session.dead) {
@@ -222,7 +241,7 @@
         applyOrderResponse(*worker, sentTo, response);
         if (response.outcome == order_outcome::refused && response.refusal == order_refusal::fenced)
             resign("a worker has seen a later term");
-        stopped = response.outcome == order_outcome::accepted || response.outcome == order_outcome::refused;
+        stopped = isStopped(response);
         if (response.outcome == order_outcome::refused) {
             if (m_dependencies.metrics)
                 m_dependencies.metrics->refusedStops->Increment();
