Let no list from before a stop decide about the stopped run

What callers see: a task runs twice at once (TWICE) for as long as a stop takes.

Cause: a start order without a response is settled by stopping the run. A list that the worker had made before the start arrived, and whose response came after the stop, then showed the run as lost while it was still stopping, and the task started elsewhere. For accepted starts the age of the poll was checked, for stopped ones not.

Change: the session keeps when such a stop was confirmed, and only the list of a later poll decides.

Measured: unconfirmed_stop_test ListFromBeforeTheStopDoesNotDecide fails before (one overlapping start), passes now; worker_session_test (13) and restarted_worker_test (8) pass.

--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -355,6 +355,7 @@
         if (attempt.mayHaveArrived && !obstacle.empty()) {
             // If the start order arrives after the stop order, the worker refuses it.
             co_await stopRun(self, worker, record.task, record.run);
+            jobs::recordStartStopped(worker->session, record.task, record.run, m_dependencies.clock());
             break;
         }
         attempt.sentAt = m_dependencies.clock();
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -29,16 +29,20 @@
     return {};
 }
 
-//! Returns whether the worker must report the run if it has it. False while its start order was not answered
-//! when the poll was sent.
+//! Returns whether the worker must report the run if it has it. False while its start order was neither
+//! answered nor stopped when the poll was sent.
 bool mustBeReported(const worker_session &session, const task_name &task, std::uint32_t run,
                     time_point sentAt)
 {
     if (session.pendingStarts.contains(task))
         return false;
     const auto accepted = session.acceptedRuns.find(task);
-    const bool own = accepted != session.acceptedRuns.end() && accepted->second.first == run;
-    return !own || accepted->second.second < sentAt;
+    if (accepted != session.acceptedRuns.end() && accepted->second.first == run)
+        return accepted->second.second < sentAt;
+    const auto stopped = session.stoppedStarts.find(task);
+    if (stopped != session.stoppedStarts.end() && stopped->second.first == run)
+        return stopped->second.second < sentAt;
+    return true;
 }
 
 } // namespace
@@ -63,6 +67,11 @@
         accepted = {run, now};
 }
 
+void recordStartStopped(worker_session &session, const task_name &task, std::uint32_t run, time_point now)
+{
+    session.stoppedStarts[task] = {run, now};
+}
+
 worker_session openSession(const worker_info &worker, time_point inheritedLeaseUntil)
 {
     worker_session session;
@@ -198,6 +207,8 @@
                     makeEndRecord(task, run, run_end::lost, lastCheckpoint(session, task, run)));
         }
     }
+    for (const journal_record &record : records)
+        session.stoppedStarts.erase(record.task);
     session.running = response.running;
     return records;
 }
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -63,6 +63,8 @@
     std::map<task_name, std::pair<std::uint32_t, time_point>> acceptedRuns;
     //! Runs whose start order has not been answered yet.
     std::map<task_name, std::uint32_t> pendingStarts;
+    //! Runs whose start order had no response and that were stopped, and when the stop was confirmed.
+    std::map<task_name, std::pair<std::uint32_t, time_point>> stoppedStarts;
     std::vector<running_report> running;
 };
 
@@ -73,6 +75,9 @@
 void recordStartSettled(worker_session &session, const task_name &task, std::uint32_t run);
 //! Records that the worker has accepted the run, unless it has accepted a later one.
 void recordAcceptedRun(worker_session &session, const task_name &task, std::uint32_t run, time_point now);
+//! Records that the run was stopped since its start order had no response. Only a list of runs that is made
+//! after that shows whether the worker has it.
+void recordStartStopped(worker_session &session, const task_name &task, std::uint32_t run, time_point now);
 
 //! Creates the session of \a worker. Leases of earlier owners may last until \a inheritedLeaseUntil.
 worker_session openSession(const worker_info &worker, time_point inheritedLeaseUntil);
--- a/tests/unit/unconfirmed_stop_test.cpp
+++ b/tests/unit/unconfirmed_stop_test.cpp
@@ -61,4 +61,20 @@
     expectNoOverlap();
 }
 
+//! A list of runs that the worker had made before the start order arrived, and whose response came after the
+//! stop, showed the run as lost while it was still stopping (TWICE).
+TEST_F(unconfirmed_stop_test, ListFromBeforeTheStopDoesNotDecide)
+{
+    startLongTask();
+    workers.pollResponseDelay = milliseconds(600);
+    runFor(milliseconds(30));
+    workers.pollResponseDelay = milliseconds(0);
+    workers.lateStartTime = milliseconds(100);
+    workers.stopTime = milliseconds(1000);
+    sendLateStart();
+    announceLeaving();
+    listOtherWorker();
+    expectNoOverlap();
+}
+
 } // namespace
