Grant the lease of a start from before the check of its permission

What callers see: a task may run twice (TWICE) behind a cut, if the owner paused between two statements.

Cause: startTask() checked that the owner may still renew leases, and computed the end of the lease from a later look at the clock. A pause between the two gave a lease that a successor doesn't count on.

Change: one look at the clock before the check decides both.

Measured: start_permission_test LeaseOfAStartBeginsBeforeTheCheckOfThePermission fails before (a lease 97 ms too long after a pause of 100 ms), passes now (7 tests); fleet_test (19) and late_start_response_test (4) pass.

--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -340,7 +340,9 @@
             break;
         const auto job = m_jobTable.jobs.find(record.task.job);
         const bool wanted = !jobs::isFinal(job->second.status);
-        std::string obstacle = startObstacle(*worker, m_dependencies.clock());
+        // The lease counts from before the check, however long the process may pause after it.
+        const time_point now = m_dependencies.clock();
+        std::string obstacle = startObstacle(*worker, now);
         // The new incarnation may be of another kind.
         if (worker->session.incarnation != record.worker)
             obstacle = "the worker has restarted";
@@ -358,7 +360,7 @@
             jobs::recordStartStopped(worker->session, record.task, record.run, m_dependencies.clock());
             break;
         }
-        attempt.sentAt = m_dependencies.clock();
+        attempt.sentAt = now;
         attempt.sentTo = worker->session.incarnation;
         const auto leaseEnd
             = jobs::nextLeaseEnd(worker->session, m_dependencies.rules.sessions, attempt.sentAt);
--- a/tests/unit/owner_fixture.h
+++ b/tests/unit/owner_fixture.h
@@ -25,6 +25,8 @@
     std::shared_ptr<fleet::job_owner> owner;
     kernel::milliseconds workersAge{0};
     bool mayRenew = true;
+    //! Called whenever the owner checks whether it may renew leases; may block to simulate a pause.
+    std::function<void()> onRenewalCheck;
 
     //! The store as the owner sees it.
     virtual store::store_api ownersStore() { return store.api(); }
@@ -47,7 +49,11 @@
         dependencies.config = [this] { return config; };
         dependencies.configConfirmedAt = kernel::monotonicNow;
         dependencies.workersConfirmedAt = [this] { return kernel::monotonicNow() - workersAge; };
-        dependencies.mayRenew = [this] { return mayRenew; };
+        dependencies.mayRenew = [this] {
+            if (onRenewalCheck)
+                onRenewalCheck();
+            return mayRenew;
+        };
         owner = std::make_shared<fleet::job_owner>(
             context, std::move(dependencies),
             fleet::won_term{term, store.revisionOf(fleet::election_key::owner), "", {}});
--- a/tests/unit/start_permission_test.cpp
+++ b/tests/unit/start_permission_test.cpp
@@ -1,5 +1,7 @@
 #include "tests/unit/owner_fixture.h"
 
+#include <thread>
+
 //! Starts that were planned under a permission that ran out while they were written to the journal: the store
 //! was slow, or the owner's process paused.
 namespace {
@@ -91,4 +93,20 @@
     EXPECT_EQ(workers.starts.size(), 2U);
 }
 
+//! A process that paused between its check of the permission and the order granted a lease that began after
+//! the pause, when its successor no longer counted on it.
+TEST_F(start_permission_test, LeaseOfAStartBeginsBeforeTheCheckOfThePermission)
+{
+    constexpr milliseconds pause{100};
+    std::int64_t checkedAtMs = 0;
+    onRenewalCheck = [&checkedAtMs, pause] {
+        checkedAtMs = kernel::toMillis(kernel::monotonicNow());
+        std::this_thread::sleep_for(pause);
+    };
+    accept(tests::makeJob(tests::onlyJob, {tests::step(1, 500)}));
+    ASSERT_TRUE(runUntil([this] { return !workers.startLeaseEnds.empty(); }));
+    onRenewalCheck = nullptr;
+    EXPECT_LE(workers.startLeaseEnds.front(), checkedAtMs + jobs::session_rules{}.lease.count());
+}
+
 } // namespace
