Send no start order whose permission ended while its connection was opened

Seen by callers: none yet.

Cause: connection_pool::exchange() opens a connection for up to connectTimeout, and the permission (start_order::notAfter) was checked only before that.

Change: exchange() takes the time before which the request must be sent, and looks at the clock between connecting and writing. After it, nothing is written and the result is exchange_status::expired, for a start order_outcome::expired. The connection has carried nothing and is kept.

Evidence: RequestWhosePermissionEndsWhileConnectingIsNotSent without the check: the request is delivered (4 checks fail). The test holds up the event loop while the connection is opened. Ruled out: the relay's own check, which comes earlier.

Not measured: bytes that lie in the socket's buffer, which this can't recall.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -130,7 +130,7 @@
 }
 
 task<exchange_result> connection_pool::exchange(std::string peer, request message,
-                                                kernel::milliseconds timeout)
+                                                kernel::milliseconds timeout, kernel::time_point sendBefore)
 {
     const auto deadline = std::chrono::steady_clock::now() + timeout;
     exchange_result result;
@@ -140,6 +140,13 @@
         conn = co_await connect(peer, deadline, result.detail);
     if (!conn)
         co_return result;
+    // Connecting may take longer than the caller's permission lasts.
+    if (kernel::monotonicNow() >= sendBefore) {
+        result.status = exchange_status::expired;
+        result.detail = "send: the time to send the request has passed";
+        keep(peer, std::move(conn));
+        co_return result;
+    }
     message.prepare_payload();
     result = co_await runExchange(*conn, message, deadline);
     result.reusedConnection = reused;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -24,7 +24,9 @@
     //! peer may have processed the request.
     broken,
     //! No complete response arrived in time, after bytes had been sent.
-    timedOut
+    timedOut,
+    //! The time until which the request might be sent had passed: no byte of it was sent.
+    expired
 };
 
 //! Result of one exchange with a peer.
@@ -57,8 +59,10 @@
     connection_pool(boost::asio::io_context &context, pool_limits limits);
 
     //! Sends \a message to \a peer (IP:PORT) and awaits the complete response for at most \a timeout, which
-    //! includes the time to connect.
-    kernel::task<exchange_result> exchange(std::string peer, request message, kernel::milliseconds timeout);
+    //! includes the time to connect. Sends it only before \a sendBefore on the clock of
+    //! kernel::monotonicNow().
+    kernel::task<exchange_result> exchange(std::string peer, request message, kernel::milliseconds timeout,
+                                           kernel::time_point sendBefore = kernel::time_point::max());
 
     //! Closes the idle connections to \a peer.
     void forget(const std::string &peer);
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/document_codec.h"
 #include "platform/worker_client.h"
 
+#include "http/server.h"
 #include "jobs/job_check.h"
 #include "jobs/job_codec.h"
 #include "tests/fakes/shared_store.h"
@@ -168,6 +169,47 @@
     EXPECT_EQ(platform::decodeOrderResponse(failed).outcome, jobs::order_outcome::unknown);
     failed.status = http::exchange_status::notSent;
     EXPECT_EQ(platform::decodeOrderResponse(failed).outcome, jobs::order_outcome::notSent);
+    failed.status = http::exchange_status::expired;
+    EXPECT_EQ(platform::decodeOrderResponse(failed).outcome, jobs::order_outcome::expired);
+}
+
+//! Sends a start order whose permission ends at \a notAfter to a worker that accepts it. Returns the outcome
+//! and counts what reaches the worker in \a received.
+jobs::order_outcome sendStart(kernel::time_point notAfter, int &received)
+{
+    boost::asio::io_context context;
+    http::server worker(context, http::server_limits{},
+                        [&received](http::request) -> kernel::task<http::reply> {
+                            ++received;
+                            co_return http::makeReply(http::status::ok, R"({"clock_ms":9})");
+                        });
+    worker.listen("127.0.0.1:0");
+    http::connection_pool connections(context, http::pool_limits{});
+    const jobs::worker_api api = platform::makeWorkerApi(connections, {});
+    jobs::order_response response;
+    const auto work = [&]() -> kernel::task<void> {
+        jobs::order_target target;
+        target.workerId = "w";
+        target.address = "127.0.0.1:" + std::to_string(worker.port());
+        jobs::start_order order;
+        order.task = *jobs::parseTask("00000000000000aa.0.1.17");
+        order.run = 1;
+        order.notAfter = notAfter;
+        response = co_await api.start(target, order);
+    };
+    tests::runToEnd(context, work());
+    return response.outcome;
+}
+
+TEST(WorkerClient, StartIsNotSentAfterItsPermissionHasEnded)
+{
+    int received = 0;
+    const kernel::time_point now = kernel::monotonicNow();
+    EXPECT_EQ(sendStart(now, received), jobs::order_outcome::expired);
+    EXPECT_EQ(received, 0);
+    EXPECT_EQ(sendStart(now + kernel::milliseconds(5000), received), jobs::order_outcome::accepted);
+    EXPECT_EQ(sendStart(kernel::time_point::max(), received), jobs::order_outcome::accepted);
+    EXPECT_EQ(received, 2);
 }
 
 TEST(WorkerClient, DecodesPollResponsesAndTreatsMalformedOnesAsNoResponse)
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <thread>
+
 //! The limits and the graceful shutdown of the server. The client sends each request at most once and
 //! reports truncated responses.
 namespace {
@@ -222,6 +224,55 @@
     }(pool));
 }
 
+//! Sends a request that may be sent for \a permission, while the event loop does nothing else for
+//! \a connectTime after the connection has been begun.
+http::exchange_result sendWithPermission(closing_server &peer, asio::io_context &context,
+                                         http::connection_pool &pool, milliseconds permission,
+                                         milliseconds connectTime)
+{
+    http::exchange_result result;
+    bool ended = false;
+    kernel::spawn(context.get_executor(),
+                  [](http::connection_pool &client, std::string address, milliseconds limit,
+                     http::exchange_result &out, bool &done) -> task<void> {
+                      http::request message(http::verb::post, "/", 11);
+                      out = co_await client.exchange(address, std::move(message), longTimeout,
+                                                     kernel::monotonicNow() + limit);
+                      done = true;
+                  }(pool, addressOf(peer.server), permission, result, ended));
+    while (pool.openCount() == 0 && context.run_one() > 0) { }
+    std::this_thread::sleep_for(connectTime);
+    while (!ended && context.run_one() > 0) { }
+    return result;
+}
+
+//! A start whose permission ended while the connection was opened reached the worker all the same.
+TEST(ConnectionPool, RequestWhosePermissionEndsWhileConnectingIsNotSent)
+{
+    asio::io_context context;
+    closing_server peer(context, 1);
+    http::connection_pool pool(context, http::pool_limits{});
+    const auto result = sendWithPermission(peer, context, pool, milliseconds(20), milliseconds(60));
+    EXPECT_EQ(result.status, exchange_status::expired);
+    EXPECT_EQ(peer.deliveries, 0);
+    // The connection has carried nothing and serves the next request.
+    EXPECT_EQ(pool.idleCount(), 1U);
+    const auto next = sendWithPermission(peer, context, pool, longTimeout, milliseconds(0));
+    EXPECT_EQ(next.status, exchange_status::answered);
+    EXPECT_TRUE(next.reusedConnection);
+    EXPECT_EQ(peer.deliveries, 1);
+}
+
+TEST(ConnectionPool, RequestIsSentAfterASlowConnectWhileItsPermissionLasts)
+{
+    asio::io_context context;
+    closing_server peer(context, 1);
+    http::connection_pool pool(context, http::pool_limits{});
+    const auto result = sendWithPermission(peer, context, pool, longTimeout, milliseconds(60));
+    EXPECT_EQ(result.status, exchange_status::answered);
+    EXPECT_EQ(peer.deliveries, 1);
+}
+
 TEST(ConnectionPool, LargeResponsesAreCompleteWithManyRequestsInFlight)
 {
     constexpr int inFlight = 64;
