Report no change again that a later page of a listing has shown

While a list of several pages was read, a worker that registered anew was reported with its present entry, then with the earlier one, then with the present one again; an entry that had lapsed and returned was reported as listed, removed and listed.

Cause: the watch after a listing starts at the revision of its first page, and repeats changes that later pages have already shown.

Change: prefix_watcher keeps the revision of each page until the watch has passed all of them, and leaves out a change that is not newer than the page of its key. A change behind a page already read is reported as before.

Evidence: listed_changes_test without the comparison: 3 of 4 cases fail, e.g. "w/2=third", "w/2=second", "w/2=third". The fourth, changes after their page, holds with and without it.

Measured: listed_changes_test (4), owner_election_test (9), history_in_parts_test (4) pass.

--- a/src/store/prefix_watcher.cpp
+++ b/src/store/prefix_watcher.cpp
@@ -45,7 +45,7 @@
 task<bool> prefix_watcher::list()
 {
     if (!m_listing)
-        m_listing = listing_progress{m_clock(), {}, 0, {}};
+        m_listing = listing_progress{m_clock(), {}, 0, {}, {}};
     bool more = true;
     while (more) {
         page_reply page = co_await m_store.page(m_prefix, m_listing->lastKey);
@@ -53,8 +53,8 @@
         // keeps its history begins anew after the first watch.
         if (page.status != store_status::ok)
             co_return false;
-        // The watch starts at the revision of the first page, so that it repeats all changes made during
-        // listing.
+        // The watch starts at the revision of the first page. It repeats changes that later pages have shown;
+        // reporting those again would take their keys back to an earlier state for a while.
         if (m_listing->revision == 0)
             m_listing->revision = page.revision;
         for (const stored_item &item : page.items) {
@@ -63,8 +63,13 @@
             m_listing->lastKey = item.key;
         }
         more = page.more && !page.items.empty();
+        if (more)
+            m_listing->pages[m_listing->lastKey] = page.revision;
+        else
+            m_lastPageRevision = page.revision;
     }
     const listing_progress listing = *std::exchange(m_listing, std::nullopt);
+    m_listedPages = listing.pages;
     reportMissingAsRemoved(listing.keys);
     m_revision = listing.revision;
     m_confirmedAt = listing.startedAt;
@@ -94,6 +99,14 @@
     m_known = listedKeys;
 }
 
+bool prefix_watcher::isListedAlready(const key_change &change) const
+{
+    if (m_listedPages.empty())
+        return false;
+    const auto page = m_listedPages.lower_bound(change.item.key);
+    return change.item.revision <= (page == m_listedPages.end() ? m_lastPageRevision : page->second);
+}
+
 task<bool> prefix_watcher::watchOnce()
 {
     const kernel::time_point startedAt = m_clock();
@@ -108,6 +121,8 @@
     m_confirmedAt = startedAt;
     m_revision = std::max(m_revision, reply.revision);
     for (const key_change &change : reply.changes) {
+        if (isListedAlready(change))
+            continue;
         if (change.removed) {
             m_known.erase(change.item.key);
             m_events.removed(change.item.key);
@@ -116,6 +131,8 @@
             reportWritten(change.item);
         }
     }
+    if (m_revision >= m_lastPageRevision)
+        m_listedPages.clear();
     const bool changed = !reply.changes.empty();
     if (changed && m_settings.batchDelay.count() > 0)
         co_await kernel::sleepFor(m_settings.batchDelay);
--- a/src/store/prefix_watcher.h
+++ b/src/store/prefix_watcher.h
@@ -3,6 +3,7 @@
 #include "store/store_api.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -53,6 +54,9 @@
     kernel::time_point confirmedAt() const { return m_confirmedAt; }
 
 private:
+    //! The store's revision when each page of a listing was read, by the last key of the page. The page of a
+    //! key is the first one whose last key is not before it.
+    using page_revisions = std::map<std::string, std::int64_t>;
     //! What has been listed so far.
     struct listing_progress
     {
@@ -61,10 +65,13 @@
         //! Revision of the first page; 0 before it was read.
         std::int64_t revision = 0;
         std::string lastKey;
+        page_revisions pages;
     };
 
     kernel::task<bool> list();
     kernel::task<bool> watchOnce();
+    //! Whether the page of the changed key already showed what \a change led to.
+    bool isListedAlready(const key_change &change) const;
     void reportWritten(const stored_item &item);
     void reportMissingAsRemoved(const std::set<std::string> &listedKeys);
 
@@ -77,6 +84,10 @@
     //! Set while a listing is not complete.
     std::optional<listing_progress> m_listing;
     std::int64_t m_revision = 0;
+    //! Of the last listing; empty once the watch has passed all its pages.
+    page_revisions m_listedPages;
+    //! Of the last page of that listing, which has no last key.
+    std::int64_t m_lastPageRevision = 0;
     bool m_listed = false;
     //! Consecutive calls without a response.
     int m_failures = 0;
