Go on sending orders to a relay after an exception

After one exception while a batch was made or sent, the owner sent nothing to that relay any more: each order to its workers waited for its whole timeout, until the relays were chosen anew.

Cause: the exception ended sendBatches(), whose last line resets outbox::sending. Nothing else does, and while it is set no other loop is started.

Change: one batch is sent in sendBatch(); sendBatches() logs an exception from it and goes on. The orders of that batch have no response, and their outcome is unknown, as if the batch had been lost.

Evidence: OrdersGoOnAfterAnExceptionInSendingABatch on the code before: the next start is unknown after its timeout and reaches no worker.

--- a/src/relay/order_dispatcher.cpp
+++ b/src/relay/order_dispatcher.cpp
@@ -276,27 +276,39 @@
     outbox &box = m_outboxes[host];
     while (!box.orders.empty()) {
         co_await kernel::sleepFor(batchInterval(box.pacing, m_dependencies.rules.pacing));
-        json batch;
-        const time_point sentAt = m_dependencies.clock();
-        batch["owner"] = m_dependencies.ownAddress;
-        batch["process"] = m_process;
-        batch["sentAt"] = kernel::toMillis(sentAt);
-        batch["orders"] = takeOrders(box);
-        if (batch["orders"].empty())
-            continue;
-        const milliseconds timeout = receiptTimeout(box.pacing, m_dependencies.rules.pacing);
-        const auto receipt
-            = co_await m_dependencies.peers->call(host, calls::orders, std::move(batch), timeout);
-        if (receipt) {
-            recordReceipt(box.pacing, m_dependencies.clock() - sentAt);
-            recordSign(m_table, host, m_dependencies.clock());
-        } else {
-            handleMissingReceipt(host, sentAt);
+        // An exception that ended this loop would leave box.sending set, so that no loop would ever follow.
+        try {
+            co_await sendBatch(host);
+        } catch (const std::exception &error) {
+            observe::logLimited(log_level::error, "unexpected error in sending a batch of orders to a relay",
+                                {{"host", host}, {"error", error.what()}}, kernel::monotonicNow());
         }
     }
     box.sending = false;
 }
 
+//! Sends what waits for \a host in one message and awaits its receipt.
+task<void> order_dispatcher::sendBatch(std::string host)
+{
+    outbox &box = m_outboxes[host];
+    json batch;
+    const time_point sentAt = m_dependencies.clock();
+    batch["owner"] = m_dependencies.ownAddress;
+    batch["process"] = m_process;
+    batch["sentAt"] = kernel::toMillis(sentAt);
+    batch["orders"] = takeOrders(box);
+    if (batch["orders"].empty())
+        co_return;
+    const milliseconds timeout = receiptTimeout(box.pacing, m_dependencies.rules.pacing);
+    const auto receipt = co_await m_dependencies.peers->call(host, calls::orders, std::move(batch), timeout);
+    if (receipt) {
+        recordReceipt(box.pacing, m_dependencies.clock() - sentAt);
+        recordSign(m_table, host, m_dependencies.clock());
+    } else {
+        handleMissingReceipt(host, sentAt);
+    }
+}
+
 //! A host that sent anything since \a sentAt is slow or behind a congested link, not gone: its orders may
 //! still be answered.
 void order_dispatcher::handleMissingReceipt(const std::string &host, time_point sentAt)
--- a/src/relay/order_dispatcher.h
+++ b/src/relay/order_dispatcher.h
@@ -96,6 +96,7 @@
     kernel::task<jobs::order_response> startThroughRelay(std::string host, jobs::order_target target,
                                                          jobs::start_order order);
     kernel::task<void> sendBatches(std::string host);
+    kernel::task<void> sendBatch(std::string host);
     //! Empties \a box. Orders whose permission has ended are completed as expired.
     nlohmann::json takeOrders(outbox &box);
     void handleMissingReceipt(const std::string &host, time_point sentAt);
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -8,6 +8,8 @@
 #include <rapidcheck/gtest.h>
 
 #include <set>
+#include <stdexcept>
+#include <utility>
 
 //! Relaying of orders to workers: the selection of relays, the encoding, and the loss of a relay.
 namespace {
@@ -131,6 +133,8 @@
     fakes::fake_fleet directWorkers;
     std::unique_ptr<relay::order_dispatcher> dispatcher;
     std::unique_ptr<relay::order_relay> orderRelay;
+    //! The owner's clock throws once, as any call may when memory is short.
+    bool clockFails = false;
 
     void SetUp() override
     {
@@ -139,7 +143,11 @@
         dispatcherDependencies.peers = &ownerPeers;
         dispatcherDependencies.ownAddress = ownerAddress;
         dispatcherDependencies.direct = directWorkers.port();
-        dispatcherDependencies.clock = kernel::monotonicNow;
+        dispatcherDependencies.clock = [this] {
+            if (std::exchange(clockFails, false))
+                throw std::runtime_error("no time");
+            return kernel::monotonicNow();
+        };
         dispatcherDependencies.workerCount = [] { return std::size_t{1000}; };
         dispatcher = std::make_unique<relay::order_dispatcher>(std::move(dispatcherDependencies));
         dispatcher->provideCalls();
@@ -249,6 +257,30 @@
     EXPECT_TRUE(directWorkers.starts.empty());
 }
 
+//! After one exception in sending a batch, nothing was sent to the relay any more: each further order waited
+//! for its whole timeout.
+TEST_F(order_relay_test, OrdersGoOnAfterAnExceptionInSendingABatch)
+{
+    kernel::setTaskFailureHandler([](const std::string &) {});
+    ASSERT_TRUE(runUntil([&] { return dispatcher->usableRelays() == 1; }));
+    std::optional<jobs::order_outcome> first;
+    kernel::spawn(context.get_executor(),
+                  [](jobs::worker_api port, std::optional<jobs::order_outcome> &outcome) -> task<void> {
+                      jobs::order_target target{"w", "10.0.0.9:80", 7};
+                      const jobs::poll_order order;
+                      const jobs::poll_response response = co_await port.poll(std::move(target), order);
+                      outcome = response.result.outcome;
+                  }(dispatcher->port(), first));
+    ASSERT_TRUE(runUntil([&] { return dispatcher->counters().viaRelay == 1; }));
+    clockFails = true;
+    ASSERT_TRUE(runUntil([&] { return !clockFails; }));
+    EXPECT_EQ(start(0).outcome, jobs::order_outcome::accepted);
+    EXPECT_EQ(relayedWorkers.starts.size(), 1U);
+    // What the exception interrupted is sent with the next batch, or its outcome is unknown.
+    ASSERT_TRUE(runUntil([&] { return first.has_value(); }));
+    kernel::setTaskFailureHandler({});
+}
+
 TEST_F(order_relay_test, StartThatArrivesAfterTheEndOfItsPermissionIsNotExecuted)
 {
     constexpr kernel::milliseconds ownersClockAhead{700'000};
