Count requests in flight at the address they were sent to

A minion whose address changed and changed back during a request seemed to have -1 requests afterwards: it got one more than it has slots for, and was never forgotten.

Cause: updateMinions() replaced the state of a minion with a new address, but request_router::finishAttempt() finds the state again by id and address, and after the second change finds one that never counted the request.

Change: a minion is known by its id and address. The state of the earlier address stays, marked as leaving, until its requests have ended, as for a minion that left the list.

Evidence: RequestsInFlightAreCountedAtTheirAddressWhileTheMinionMoves on the code before: 4 checks fail, inFlight is -1. MinionAtANewAddressStartsWithoutRequests holds on both.

--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -244,11 +244,12 @@
     for (minion_state &minion : state.minions)
         minion.leaving = true;
     for (const listed_minion &item : listed) {
-        const auto known = std::find_if(state.minions.begin(), state.minions.end(),
-                                        [&](const minion_state &minion) { return minion.id == item.id; });
+        // A request ends at the address it was sent to: what is in flight there stays with that address.
+        const auto known
+            = std::find_if(state.minions.begin(), state.minions.end(), [&](const minion_state &minion) {
+                  return minion.id == item.id && minion.address == item.address;
+              });
         minion_state &minion = known == state.minions.end() ? state.minions.emplace_back() : *known;
-        if (minion.address != item.address)
-            minion = minion_state{};
         minion.id = item.id;
         minion.address = item.address;
         minion.failureDomain = item.failureDomain;
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -128,6 +128,39 @@
     EXPECT_FALSE(chooseMinion(state, {}, {}, start).has_value());
 }
 
+//! The end of a request was counted for the state that had replaced the one it was sent with: the minion
+//! seemed to have fewer than no requests, got more than it has slots for, and was never forgotten.
+TEST(Routing, RequestsInFlightAreCountedAtTheirAddressWhileTheMinionMoves)
+{
+    routing_state state;
+    const listed_minion first{"minion-0", "127.0.0.1:7000", "zone", false, 1};
+    const listed_minion second{"minion-0", "127.0.0.1:7001", "zone", false, 1};
+    updateMinions(state, {first});
+    recordSend(state.minions[0]);
+    updateMinions(state, {second});
+    updateMinions(state, {first});
+    ASSERT_EQ(state.minions.size(), 1U);
+    EXPECT_EQ(state.minions[0].address, first.address);
+    EXPECT_EQ(state.minions[0].inFlight, 1);
+    EXPECT_FALSE(chooseMinion(state, {}, {}, start).has_value());
+    recordAttempt(state.minions[0], {}, {attempt_result::answered, milliseconds(1), std::nullopt}, start);
+    EXPECT_EQ(state.minions[0].inFlight, 0);
+    updateMinions(state, {});
+    EXPECT_TRUE(state.minions.empty());
+}
+
+//! A minion starts anew at another address; the requests that the earlier one has are not its own.
+TEST(Routing, MinionAtANewAddressStartsWithoutRequests)
+{
+    routing_state state = stateWith(1, 1);
+    recordSend(state.minions[0]);
+    updateMinions(state, {{"minion-0", "127.0.0.1:7001", "zone", false, 1}});
+    const auto chosen = chooseMinion(state, {}, {}, start);
+    ASSERT_TRUE(chosen.has_value());
+    EXPECT_EQ(state.minions[*chosen].address, "127.0.0.1:7001");
+    EXPECT_EQ(state.minions[*chosen].inFlight, 0);
+}
+
 TEST(Routing, FullMinionGetsOneProbeRequestAfterItsBackoff)
 {
     routing_state state = stateWith(1, 8);
