Keep sending requests to a worker after a malformed response

After one response in which a member was missing or had another type, the owner of a cell sent nothing to that worker any more: its runs expired and no order to it followed. An owner that then lost the cell waited for ever for its loops to end, and with it the scheduler for its next round.

Cause: reading the response threw, which ended syncLoop(). The worker stayed in m_workers, where manageWorker() starts no second loop, and m_runningLoops stayed above zero.

Change: a response that can't be read counts as none, as one that is not JSON did before, and is logged.

The users' programs (almond-node) do not use this part.

--- a/src/placement/cell_owner.cpp
+++ b/src/placement/cell_owner.cpp
@@ -1,5 +1,6 @@
 #include "placement/cell_owner.h"
 
+#include "codec/bounded_json.h"
 #include "observe/log.h"
 #include "placement/cell_directory.h"
 #include "placement/record_filter.h"
@@ -23,6 +24,21 @@
 constexpr std::size_t maximumForgottenPerBatch = 200;
 constexpr store::append_limits appendLimits{3, kernel::milliseconds(50)};
 
+//! Empty unless \a result has a whole response of the worker \a id. What a worker sends must not end the loop
+//! that sends requests to it.
+std::optional<sync_response> decodeResponse(const http::exchange_result &result, const std::string &id)
+{
+    if (result.status != http::exchange_status::answered || result.answer.result() != http::status::ok)
+        return std::nullopt;
+    try {
+        return codec::parseText(result.answer.body()).value_or(nullptr).get<sync_response>();
+    } catch (const std::exception &error) {
+        observe::logLimited(log_level::error, "malformed response of a worker ignored",
+                            {{"worker", id}, {"error", error.what()}}, kernel::monotonicNow());
+        return std::nullopt;
+    }
+}
+
 std::string submissionId(const std::string &process, std::uint64_t epoch, std::uint64_t number)
 {
     return process + "/" + std::to_string(epoch) + "/" + std::to_string(number);
@@ -161,12 +177,9 @@
             ++m_counters.syncs;
             const http::exchange_result result = co_await m_dependencies.workers->exchange(
                 host->second.address, std::move(message), m_dependencies.settings.syncTimeout);
-            const json body = json::parse(result.answer.body(), nullptr, false);
-            const bool answered = result.status == http::exchange_status::answered && body.is_object()
-                && result.answer.result() == http::status::ok;
-            if (answered)
-                queueRecords(handleResponse(m_state, id, worker->link, body.get<sync_response>(),
-                                            m_dependencies.clock()));
+            const std::optional<sync_response> response = decodeResponse(result, id);
+            if (response)
+                queueRecords(handleResponse(m_state, id, worker->link, *response, m_dependencies.clock()));
             else
                 ++m_counters.syncFailures;
         }
