--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -232,6 +232,20 @@
     m_counterExport.counter("almond_status_unanswered_total",
                             "Questions for a job's status that the owner left without an answer.",
                             [this] { return m_callers->counters().statusUnanswered; });
+    const auto exportOrders = [this](const char *name, const char *help,
+                                     std::uint64_t relay::relay_counters::*member) {
+        m_counterExport.counter(name, help, [this, member] { return m_orderDispatcher->counters().*member; });
+    };
+    exportOrders("almond_orders_direct_total", "Orders that the owner sent to workers itself.",
+                 &relay::relay_counters::direct);
+    exportOrders("almond_orders_relayed_total", "Orders that the owner sent to workers through relays.",
+                 &relay::relay_counters::viaRelay);
+    exportOrders("almond_orders_abandoned_total",
+                 "Relayed orders whose relay was lost before their response; their outcome is unknown.",
+                 &relay::relay_counters::abandoned);
+    exportOrders("almond_starts_expired_total",
+                 "Starts that were not sent to a relay because their permission ended while they waited.",
+                 &relay::relay_counters::expired);
 }
 
 std::string node_daemon::collectMetrics()
--- a/tests/unit/node_test.cpp
+++ b/tests/unit/node_test.cpp
@@ -126,7 +126,9 @@
     })) << page;
     for (const char *line : {"almond_lasting_task_gap_seconds_count 0\n", "almond_lasting_tasks_waiting 0\n",
                              "almond_lasting_task_longest_wait_seconds 0\n",
-                             "almond_jobs_idle_with_room_total 0\n", "almond_status_unanswered_total 0\n"})
+                             "almond_jobs_idle_with_room_total 0\n", "almond_status_unanswered_total 0\n",
+                             "almond_orders_direct_total ", "almond_orders_relayed_total 0\n",
+                             "almond_orders_abandoned_total 0\n", "almond_starts_expired_total 0\n"})
         EXPECT_NE(page.find(line), std::string::npos) << line;
     bool stopped = false;
     boost::asio::co_spawn(fixture.context, fixture.node->stop(),
