--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -120,7 +120,9 @@
                 minion.busy = False
 
     async def cut_minions(self):
-        minions = self.some_minions(6)
+        """Calls of the cut get no response even after it; the minion then reports soon, or the cut was short."""
+        minions = self.some_minions(8)
+        delay = self.rng.choice(((0.0, 0.0), (0.02, 0.6)))
         try:
             for minion in minions:
                 minion.cut()
@@ -128,6 +130,13 @@
         finally:
             for minion in minions:
                 minion.heal()
+                minion.register()
+                minion.order_delay = delay
+        try:
+            await asyncio.sleep(2.0 if delay[1] else 0.0)
+        finally:
+            for minion in minions:
+                minion.order_delay = (0.0, 0.0)
                 minion.busy = False
 
     async def hover(self):
@@ -135,7 +144,8 @@
         minions = self.some_minions(8)
         for minion in minions:
             if self.rng.random() < 0.7:
-                minion.poll_delay = (0.0, self.rng.uniform(0.1, 1.5))
+                shortest = self.rng.choice((0.0, 0.3, 1.0))
+                minion.poll_delay = (shortest, shortest + self.rng.uniform(0.1, 1.5))
             if self.rng.random() < 0.7:
                 minion.order_delay = (0.0, self.rng.uniform(0.02, 0.6))
         times = self.rng.randint(1, 3)
@@ -273,8 +283,9 @@
 
 
 NODE_FAULTS = ("freeze_node", "freeze_node", "starve_node", "restart_node", "cut_node_from_store")
-MINION_FAULTS = ("hover", "hover", "hover", "pause_minions", "pause_minions", "cut_minions", "delay_polls", "delay_orders",
-                 "execute_late", "lose_responses", "refuse", "late_then_refuse", "restart_minions", "swap_addresses")
+MINION_FAULTS = ("hover", "hover", "hover", "pause_minions", "pause_minions", "cut_minions", "cut_minions",
+                 "delay_polls", "delay_orders", "execute_late", "lose_responses", "refuse", "late_then_refuse", "restart_minions",
+                 "swap_addresses")
 STORE_FAULTS = ("slow_store", "lossy_store", "store_down")
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -53,13 +53,18 @@
         return steps, {"s": seconds}
 
     async def run(self):
-        for _ in range(self.rng.randint(1, 2)):
+        for _ in range(self.rng.randint(0, 2)):
             step = {"count": 6, "cpu": 500, "mem_mb": 500, "estimate_ms": 500, "long_running": True}
             self.spawn(self.submit(self.name(), [step], {"s": 3600.0}, lasting=True))
         while True:
-            steps, spec = self.draw()
-            self.spawn(self.live(self.name(), steps, spec))
-            await asyncio.sleep(self.rng.expovariate(4.5))
+            # Between waves most minions have nothing to run.
+            wave_s, jobs_per_s = self.rng.uniform(0.5, 4.0), self.rng.uniform(3.0, 9.0)
+            until = self.deployment.record.now() + wave_s
+            while self.deployment.record.now() < until:
+                steps, spec = self.draw()
+                self.spawn(self.live(self.name(), steps, spec))
+                await asyncio.sleep(self.rng.expovariate(jobs_per_s))
+            await asyncio.sleep(self.rng.uniform(0.0, 3.0))
 
     def name(self):
         return f"{self.rng.getrandbits(64):016x}"
