Put several kinds of trouble on the same minions in the soak

Each minion had one kind of fault at a time, so that delayed polls and orders carried out late never met.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -188,7 +188,19 @@
         """Start orders stay under way while the minion turns later orders away."""
         await self._with(5, late_share=0.8, refusals=(503, ("/run-stop",), self.rng.choice((0.6, 1.0))))
 
-    async def _with(self, most, **values):
+    async def mix(self):
+        """Several kinds of trouble on the same minions, which may be paused for a part of the time."""
+        rng = self.rng
+        drawn = {"poll_delay": (rng.choice((0.0, 0.3)), rng.uniform(0.3, 2.0)),
+                 "order_delay": (0.0, rng.uniform(0.05, 1.5)),
+                 "response_delay": (0.0, rng.uniform(0.1, 1.5)),
+                 "late_share": rng.uniform(0.3, 0.9),
+                 "lost_share": rng.uniform(0.2, 0.7),
+                 "refusals": (rng.choice((429, 503)), rng.choice((("/run-start",), ORDERS, ("/hold",))), 0.5)}
+        names = rng.sample(sorted(drawn), rng.randint(2, 4))
+        await self._with(5, pause_share=rng.choice((0.0, 0.5)), **{name: drawn[name] for name in names})
+
+    async def _with(self, most, pause_share=0.0, **values):
         minions = self.some_minions(most)
         before = {name: getattr(Plain, name) for name in values}
         self.record.add("minions-set", minions=[minion.id for minion in minions], values=values)
@@ -196,11 +208,18 @@
             for minion in minions:
                 for name, value in values.items():
                     setattr(minion, name, value)
-            await asyncio.sleep(self.rng.uniform(0.5, 6.0))
+            await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+            if self.rng.random() < pause_share:
+                for minion in minions:
+                    minion.pause()
+                await asyncio.sleep(about(self.rng, self.rng.choice(PAUSES_S)))
+            await asyncio.sleep(self.rng.uniform(0.0, 2.0))
         finally:
             for minion in minions:
                 for name, value in before.items():
                     setattr(minion, name, value)
+                if minion.paused:
+                    minion.wake()
                 minion.busy = False
             self.record.add("minions-set", minions=[minion.id for minion in minions], values=before)
 
@@ -283,9 +302,9 @@
 
 
 NODE_FAULTS = ("freeze_node", "freeze_node", "starve_node", "restart_node", "cut_node_from_store")
-MINION_FAULTS = ("hover", "hover", "hover", "pause_minions", "pause_minions", "cut_minions", "cut_minions",
-                 "delay_polls", "delay_orders", "execute_late", "lose_responses", "refuse", "late_then_refuse", "restart_minions",
-                 "swap_addresses")
+MINION_FAULTS = ("hover", "hover", "hover", "mix", "mix", "mix", "mix", "pause_minions", "pause_minions",
+                 "cut_minions", "cut_minions", "delay_polls", "delay_orders", "execute_late",
+                 "lose_responses", "refuse", "late_then_refuse", "restart_minions", "swap_addresses")
 STORE_FAULTS = ("slow_store", "lossy_store", "store_down")
 
 
