--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -75,6 +75,6 @@
     profile = next((row["profile"] for row in record if row["event"] == "profile"), None)
     return {"profile": profile, "starts": events["run-started"], "expired": events["entry-expired"],
             "frozen": events["node-frozen"], "nodes_ended": events["node-signalled"],
-            "paused": events["minion-paused"], "restarted": max(0, events["minion-down"]),
+            "paused": events["minion-paused"], "restarted": events["minion-down"],
             "refused": events["refused"], "late": events["executed-late"],
             "store_faults": events["store-down"] + events["store-slow"] + events["store-lossy"]}
