Let no stop that an earlier incarnation confirmed decide about the next one

What callers see: a task runs twice at once (TWICE), where a worker left a start order unanswered, confirmed the stop of that run, and restarted before the order arrived, which the new incarnation then carried out.

What a stop had settled, and that an order was still without a response, was forgotten or kept over the restart.

Change: the session keeps for which runs a start order had no response. When another incarnation shows, these runs are stopped there before its list decides, and a stop that was sent to the earlier incarnation doesn't count. The record of a stop is not replaced by that of an earlier run. A stop ends when the run's end is known, or when the worker does not understand it; the line about lost runs is limited, and a worker found gone is looked at at once.

Measured: earlier_life_permission_test StopConfirmedBeforeARestart... and StoppedStarts.EarlierRun... fail before, pass now; its third case, an acknowledgement that reaches the next incarnation, still fails and is listed. restarted_worker_test (8), earlier_incarnation_response_test (2) and relisted_worker_test pass.

--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -261,6 +261,9 @@
     bool isUnused(const managed_worker &worker) const;
     void applyListing(managed_worker &worker);
     void replaceIncarnation(const managed_worker_ptr &worker, std::int64_t bornMs);
+    void stopUnansweredStarts(const managed_worker_ptr &worker);
+    kernel::task<void> stopUnansweredStart(self_ptr self, managed_worker_ptr worker, jobs::task_name task,
+                                           std::uint32_t run);
     void moveRuns(const std::string &from, const std::string &to);
     void adoptUnlistedRuns();
 
--- a/src/fleet/job_owner_incarnations.cpp
+++ b/src/fleet/job_owner_incarnations.cpp
@@ -70,9 +70,34 @@
         log_level::info, "worker has restarted",
         {{"worker", present}, {"earlier", earlier}, {"pendingStarts", worker->session.pendingStarts.size()}});
     moveRuns(earlier, present);
+    stopUnansweredStarts(worker);
     worker->signal.wake();
 }
 
+//! Stops the runs of \a worker that have a start order without a response. The earlier incarnation may have
+//! confirmed a stop or accepted a repeated order, but an order that is still under way reaches the present
+//! one, whose list would not show that run before.
+void job_owner::stopUnansweredStarts(const managed_worker_ptr &worker)
+{
+    const std::map<jobs::task_name, std::uint32_t> unanswered = worker->session.unansweredStarts;
+    for (const auto &[task, run] : unanswered) {
+        const bool assigned = jobs::assignedRun(m_jobTable, worker->session.incarnation, task) == run;
+        // A start in progress stops its run itself.
+        if (!assigned || worker->session.pendingStarts.contains(task))
+            continue;
+        jobs::recordPendingStart(worker->session, task, run);
+        kernel::spawn(m_context.get_executor(), stopUnansweredStart(shared_from_this(), worker, task, run));
+    }
+}
+
+kernel::task<void> job_owner::stopUnansweredStart(self_ptr self, managed_worker_ptr worker,
+                                                  jobs::task_name task, std::uint32_t run)
+{
+    co_await stopRun(self, worker, task, run);
+    jobs::recordStartStopped(worker->session, task, run, m_dependencies.clock());
+    jobs::recordStartSettled(worker->session, task, run);
+}
+
 //! Assigns the runs of the incarnation \a from to the incarnation \a to at once, so that the next list of
 //! runs of the worker is compared with them, and writes this to the journal with the next commit.
 void job_owner::moveRuns(const std::string &from, const std::string &to)
--- a/src/fleet/job_owner_watch.cpp
+++ b/src/fleet/job_owner_watch.cpp
@@ -79,15 +79,17 @@
         recordLostRuns(*m_dependencies.metrics, loss_evidence::notListed, count);
     const auto trace = m_traces.find(worker.session.info.id);
     const worker_trace seen = trace == m_traces.end() ? worker_trace{} : trace->second;
-    observe::log(log_level::info, "runs counted as lost: the worker doesn't list them",
-                 {{"worker", worker.session.incarnation},
-                  {"count", count},
-                  {"runs", std::move(runs)},
-                  {"pollSentBeforeMs", (now - sentAt).count()},
-                  {"pollsInFlight", seen.pollsInFlight},
-                  {"sessionOpenedBeforeMs", (now - worker.sessionOpenedAt).count()},
-                  {"sessionsOfWorker", seen.sessionsOpened},
-                  {"pendingStarts", worker.session.pendingStarts.size()}});
+    // Until they are committed, the same runs are found with each poll.
+    observe::logLimited(log_level::info, "runs counted as lost: the worker doesn't list them",
+                        {{"worker", worker.session.incarnation},
+                         {"count", count},
+                         {"runs", std::move(runs)},
+                         {"pollSentBeforeMs", (now - sentAt).count()},
+                         {"pollsInFlight", seen.pollsInFlight},
+                         {"sessionOpenedBeforeMs", (now - worker.sessionOpenedAt).count()},
+                         {"sessionsOfWorker", seen.sessionsOpened},
+                         {"pendingStarts", worker.session.pendingStarts.size()}},
+                        now);
 }
 
 //! Follows how long a worker is missing in the list of workers, and whether its session outlasts that.
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -7,6 +7,8 @@
 
 #include <prometheus/counter.h>
 
+#include <algorithm>
+
 namespace almond::fleet {
 
 using jobs::journal_record;
@@ -25,7 +27,19 @@
 {
     const bool obsolete
         = response.outcome == order_outcome::refused && response.refusal == order_refusal::obsolete;
-    return response.outcome == order_outcome::accepted || obsolete;
+    // A worker that doesn't understand the order will not understand its repetition either.
+    const bool malformed = response.refusal == order_refusal::malformed;
+    return response.outcome == order_outcome::accepted || obsolete || malformed;
+}
+
+//! Whether the end of the run is known, so that an order to stop it has nothing left to do.
+bool hasEnded(const jobs::worker_session &session, const jobs::job_table &table, const jobs::task_name &task,
+              std::uint32_t run)
+{
+    const bool reported
+        = std::any_of(session.running.begin(), session.running.end(),
+                      [&](const jobs::running_report &row) { return row.run == run && row.task == task; });
+    return !reported && jobs::assignedRun(table, session.incarnation, task) != run;
 }
 
 } // namespace
@@ -202,8 +216,10 @@
     if (worker.session.incarnation != sentTo)
         return;
     jobs::recordResponse(worker.session, response, m_dependencies.clock());
-    if (response.refusal == order_refusal::otherIncarnation)
+    if (response.refusal == order_refusal::otherIncarnation) {
         worker.session.dead = true;
+        worker.signal.wake();
+    }
 }
 
 task<void> job_owner::sendThrottleOrder(self_ptr, managed_worker_ptr worker, jobs::throttle_order order)
@@ -225,23 +241,25 @@
 task<void> job_owner::stopRun(self_ptr, managed_worker_ptr worker, jobs::task_name name, std::uint32_t run)
 {
     const std::pair<std::string, std::uint32_t> key(jobs::formatTask(name), run);
-    if (m_resigned)
-        co_return;
-    if (!m_stopping.insert(key).second) {
-        // Whoever waits for the stop must not go on before the other order is settled.
-        while (!m_resigned && m_stopping.contains(key))
-            co_await kernel::sleepFor(m_dependencies.rules.retryDelay);
+    const bool underWay = m_stopping.contains(key);
+    // Whoever waits for the stop must not go on before the other order is settled.
+    while (!m_resigned && m_stopping.contains(key))
+        co_await kernel::sleepFor(m_dependencies.rules.retryDelay);
+    if (m_resigned || underWay)
         co_return;
-    }
+    m_stopping.insert(key);
     ++m_counters.stops;
     bool stopped = false;
     while (!stopped && !m_resigned && !worker->session.dead) {
+        if (hasEnded(worker->session, m_jobTable, name, run))
+            break;
         const std::string sentTo = worker->session.incarnation;
         const order_response response = co_await m_dependencies.workers.stop(orderTarget(*worker), name, run);
         applyOrderResponse(*worker, sentTo, response);
         if (response.outcome == order_outcome::refused && response.refusal == order_refusal::fenced)
             resign("a worker has seen a later term");
-        stopped = isStopped(response);
+        // The next incarnation knows nothing of what the earlier one has stopped.
+        stopped = isStopped(response) && worker->session.incarnation == sentTo;
         if (response.outcome == order_outcome::refused) {
             if (m_dependencies.metrics)
                 m_dependencies.metrics->refusedStops->Increment();
@@ -374,7 +392,10 @@
         if (const jobs::task_state *state = jobs::findTask(m_jobTable, record.task))
             order.checkpoint = state->checkpoint;
         const order_response response = co_await m_dependencies.workers.start(orderTarget(*worker), order);
-        attempt.mayHaveArrived = attempt.mayHaveArrived || response.outcome == order_outcome::unknown;
+        if (response.outcome == order_outcome::unknown) {
+            attempt.mayHaveArrived = true;
+            jobs::recordUnansweredStart(worker->session, record.task, record.run);
+        }
         if (handleStartResponse(*worker, record, response, attempt))
             break;
         co_await kernel::sleepFor(m_dependencies.rules.retryDelay);
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -69,7 +69,15 @@
 
 void recordStartStopped(worker_session &session, const task_name &task, std::uint32_t run, time_point now)
 {
-    session.stoppedStarts[task] = {run, now};
+    auto &stopped = session.stoppedStarts[task];
+    if (stopped.first <= run)
+        stopped = {run, now};
+}
+
+void recordUnansweredStart(worker_session &session, const task_name &task, std::uint32_t run)
+{
+    std::uint32_t &unanswered = session.unansweredStarts[task];
+    unanswered = std::max(unanswered, run);
 }
 
 worker_session openSession(const worker_info &worker, time_point inheritedLeaseUntil)
@@ -207,8 +215,10 @@
                     makeEndRecord(task, run, run_end::lost, lastCheckpoint(session, task, run)));
         }
     }
-    for (const journal_record &record : records)
+    for (const journal_record &record : records) {
         session.stoppedStarts.erase(record.task);
+        session.unansweredStarts.erase(record.task);
+    }
     session.running = response.running;
     return records;
 }
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -65,6 +65,9 @@
     std::map<task_name, std::uint32_t> pendingStarts;
     //! Runs whose start order had no response and that were stopped, and when the stop was confirmed.
     std::map<task_name, std::pair<std::uint32_t, time_point>> stoppedStarts;
+    //! Runs with a start order that had no response. It may still be executed, by the next incarnation as
+    //! well.
+    std::map<task_name, std::uint32_t> unansweredStarts;
     std::vector<running_report> running;
 };
 
@@ -75,8 +78,10 @@
 void recordStartSettled(worker_session &session, const task_name &task, std::uint32_t run);
 //! Records that the worker has accepted the run, unless it has accepted a later one.
 void recordAcceptedRun(worker_session &session, const task_name &task, std::uint32_t run, time_point now);
+//! Records that a start order for the run had no response.
+void recordUnansweredStart(worker_session &session, const task_name &task, std::uint32_t run);
 //! Records that the run was stopped since its start order had no response. Only a list of runs that is made
-//! after that shows whether the worker has it.
+//! after that shows whether the worker has it. Does nothing if a later run was stopped.
 void recordStartStopped(worker_session &session, const task_name &task, std::uint32_t run, time_point now);
 
 //! Creates the session of \a worker. Leases of earlier owners may last until \a inheritedLeaseUntil.
--- a/tests/unit/session_orders_describe.cpp
+++ b/tests/unit/session_orders_describe.cpp
@@ -81,6 +81,10 @@
     text.addOwnerTime(jobs::leaseEnd(session));
     text.addOwnerTime(session.lastResponseAt);
     text.addOwnerTime(session.unansweredSince);
+    for (const auto &[task, stopped] : session.stoppedStarts) {
+        text.add(stopped.first);
+        text.addOwnerTime(stopped.second);
+    }
     for (const auto &[task, accepted] : session.acceptedRuns) {
         text.add(accepted.first);
         text.addOwnerTime(accepted.second);
--- a/tests/unit/session_orders_model.cpp
+++ b/tests/unit/session_orders_model.cpp
@@ -210,6 +210,7 @@
     state.stops.erase(state.stops.begin() + static_cast<std::ptrdiff_t>(index));
     for (std::size_t start = 0; start < state.starts.size(); ++start) {
         if (state.starts[start].run == run && state.starts[start].stopping) {
+            jobs::recordStartStopped(*state.session, onlyTask, run, nowOf(state));
             endProcedure(state, start);
             break;
         }
