Wait for the end of a run that is being stopped instead of polling without a pause

A worker without assigned runs was polled without a wait while it was still stopping one that no job had assigned to it, and each list that showed it ordered the stop again.

Change: such a poll waits for the end, like any other.

--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -69,8 +69,11 @@
 {
     const auto load = m_jobTable.loads.find(worker.session.incarnation);
     const bool unanswered = worker.session.unansweredSince != time_point{};
-    if (load == m_jobTable.loads.end() || !worker.session.fenced || unanswered)
+    if (!worker.session.fenced || unanswered)
         return milliseconds(0);
+    // What still runs without being assigned is being stopped; its end comes soon.
+    if (load == m_jobTable.loads.end())
+        return worker.session.running.empty() ? milliseconds(0) : m_dependencies.rules.slowServicePollWait;
     const bool contended = load->second.bestEffortMillicores > 0 && load->second.longRunningMillicores > 0;
     if (contended && !worker.throttle.targetMisses.empty())
         return m_dependencies.rules.slowServicePollWait;
--- a/tests/fakes/fake_fleet.h
+++ b/tests/fakes/fake_fleet.h
@@ -88,6 +88,7 @@
             std::size_t &waiting = pollsInFlight[target.workerId];
             mostPollsInFlight = std::max(mostPollsInFlight, ++waiting);
             const kernel::milliseconds delay = pollResponseDelay;
+            pollsWithoutWait += order.wait.count() == 0 ? 1 : 0;
             if (order.wait.count() > 0)
                 co_await kernel::sleepFor(kernel::milliseconds(3));
             if (unresponsive.contains(target.workerId))
@@ -170,6 +171,8 @@
     //! By worker: polls without a response yet. An owner has one at a time.
     std::map<std::string, std::size_t> pollsInFlight;
     std::size_t mostPollsInFlight = 0;
+    //! Polls that asked for a response at once.
+    int pollsWithoutWait = 0;
     //! Runs succeed as soon as they start.
     bool endImmediately = false;
     //! A repeated start order is refused as by an unhealthy worker, whatever the outcome of the first one.
--- a/tests/unit/unconfirmed_stop_test.cpp
+++ b/tests/unit/unconfirmed_stop_test.cpp
@@ -77,4 +77,19 @@
     expectNoOverlap();
 }
 
+//! A worker that was stopping a run which no job has assigned to it was polled as fast as it responded, and
+//! each poll ordered the stop again.
+TEST_F(unconfirmed_stop_test, AWorkerThatIsStoppingItsLastRunIsNotPolledInABusyLoop)
+{
+    workers.stopTime = milliseconds(300);
+    workers.workers["w"].runs["00000000000000cc.0.0.0"] = {1, false};
+    workers.endImmediately = true;
+    accept(tests::makeJob(tests::onlyJob, {tests::step(1, 500)}));
+    ASSERT_TRUE(runUntil([this] { return owner->statusOf(tests::onlyJob) == jobs::job_status::completed; }));
+    runFor(milliseconds(30));
+    const int before = workers.pollsWithoutWait;
+    runFor(milliseconds(200));
+    EXPECT_LE(workers.pollsWithoutWait - before, 5);
+}
+
 } // namespace
