--- a/tests/unit/earlier_life_permission_test.cpp
+++ b/tests/unit/next_incarnation_test.cpp
@@ -6,7 +6,7 @@
 using namespace almond;
 using kernel::milliseconds;
 
-class earlier_life_permission_test : public tests::owner_fixture
+class next_incarnation_test : public tests::owner_fixture
 {
 protected:
     static constexpr const char *earlierJob = "00000000000000bb";
@@ -25,7 +25,7 @@
 
 //! The earlier incarnation confirmed the stop of a run whose start order was still under way. The new one
 //! knew nothing of that stop and executed the start order, while the task had been started elsewhere (TWICE).
-TEST_F(earlier_life_permission_test, StopConfirmedBeforeARestartDoesNotDecideAfterIt)
+TEST_F(next_incarnation_test, StopConfirmedBeforeARestartDoesNotDecideAfterIt)
 {
     workers.lateStarts = 1;
     workers.lateStartTime = milliseconds(900);
@@ -50,7 +50,7 @@
 //! A worker restarted between the response to a poll and the next poll, which acknowledged an end of the
 //! earlier incarnation. The new one forgot the end that had the same number, and its run was repeated
 //! (TWICE).
-TEST_F(earlier_life_permission_test, AcknowledgementForTheEarlierIncarnationDoesNotRepeatARunThatIsDone)
+TEST_F(next_incarnation_test, AcknowledgementForTheEarlierIncarnationDoesNotRepeatARunThatIsDone)
 {
     accept(tests::makeJob(earlierJob, {tests::step(1, 500)}));
     ASSERT_TRUE(runUntil([this] { return owner->counters().starts == 1; }));
