Count figures that a worker updates continuously once per half second

What callers see: where a worker's figure rolls, each poll counts as a measurement with noise of its own, and half a second of low figures ends a target miss (HARM). Change: a figure that is renewed once per measurement changes three times within that time at most, also if a poll is late; from the fourth change on the newest figure replaces the one of the same half second. believed_limits_test FiguresOfOneHalfSecondCountAsOneMeasurement failed before; target_miss_test and lost_polls_test are unchanged and pass.

--- a/src/jobs/target_miss.cpp
+++ b/src/jobs/target_miss.cpp
@@ -53,6 +53,18 @@
     return isUnattended && isShown ? std::min(begin, history.unattendedSince) : begin;
 }
 
+//! Returns whether the figure that is new at \a now is one of those that a worker updates continuously: a
+//! figure that is renewed once per measurement changes three times within that time at most.
+bool isContinuous(std::vector<time_point> &changes, const miss_rules &rules, time_point now)
+{
+    constexpr std::size_t mostChanges = 3;
+    changes.push_back(now);
+    if (changes.size() <= mostChanges)
+        return false;
+    changes.erase(changes.begin());
+    return now - changes.front() < rules.measurementTime;
+}
+
 } // namespace
 
 void recordTail(tail_history &history, const miss_rules &rules, std::int64_t latencyMs, milliseconds target,
@@ -69,8 +81,12 @@
         known.back().seenAt = now;
         return;
     }
-    const double ratio = static_cast<double>(latencyMs) / static_cast<double>(target.count());
-    known.push_back({now, now, latencyMs, std::log(ratio)});
+    const double excess = std::log(static_cast<double>(latencyMs) / static_cast<double>(target.count()));
+    const bool continuous = isContinuous(history.changes, rules, now);
+    if (continuous && !known.empty() && now - known.back().at < rules.measurementTime)
+        known.back() = {known.back().at, now, latencyMs, excess};
+    else
+        known.push_back({now, now, latencyMs, excess});
 }
 
 std::optional<possible_miss> possibleMiss(const tail_history &history, const miss_rules &rules)
--- a/src/jobs/target_miss.h
+++ b/src/jobs/target_miss.h
@@ -49,6 +49,8 @@
 struct tail_history
 {
     std::vector<tail_measurement> measurements;
+    //! When the newest figures that differ were first seen, oldest first.
+    std::vector<time_point> changes;
     //! When no best-effort task was at work beside it, for the last time.
     time_point undisturbedAt{};
     //! Since when no owner has watched the task before the first of the measurements; zero if it was watched,
@@ -56,7 +58,8 @@
     time_point unattendedSince{};
 };
 
-//! Adds what a poll has returned at \a now. Polls of the same measurement count once.
+//! Adds what a poll has returned at \a now. Polls of the same measurement count once, also where the worker
+//! updates its figure continuously instead of once per measurement.
 void recordTail(tail_history &history, const miss_rules &rules, std::int64_t latencyMs, milliseconds target,
                 time_point now);
 
