--- a/tests/unit/backlogged_service.h
+++ b/tests/unit/backlogged_service.h
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,20 +34,28 @@
     //! Adds a job of two steps of best-effort tasks, accepted now. Returns its id.
     std::string submit(std::uint32_t tasks, std::int64_t millicores)
     {
-        jobs::step_spec spec = step(tasks, millicores, 8000);
-        spec.bestEffort = true;
-        spec.image = "reconciler";
-        spec.declaredDuration = taskDuration;
-        jobs::step_spec second = spec;
-        second.after = {0};
         std::string id = std::to_string(m_submitted++);
         id.insert(0, 16 - id.size(), '0');
-        jobs::job job = makeJob(id, {spec, second});
-        job.acceptedAtMs = kernel::toMillis(now);
-        jobs::addJob(table, job);
+        jobs::addJob(table, makeBacklogJob(id, tasks, millicores));
         return id;
     }
 
+    //! Hands in a job as a caller does. Returns its id, or nothing if it is rejected.
+    std::optional<std::string> offer(std::uint32_t tasks, std::int64_t millicores)
+    {
+        return submit(tasks, millicores);
+    }
+
+    //! Time from the acceptance of each job that has completed to its completion.
+    std::vector<kernel::milliseconds> completionTimes() const
+    {
+        std::vector<kernel::milliseconds> times;
+        times.reserve(m_completedAt.size());
+        for (const auto &[id, at] : m_completedAt)
+            times.push_back(at - kernel::fromMillis(table.jobs.at(id).spec.acceptedAtMs));
+        return times;
+    }
+
     //! Assigns \a millicores of guaranteed work on each worker for good.
     void reserve(std::int64_t millicores)
     {
@@ -64,8 +74,11 @@
         now += roundInterval;
         std::erase_if(m_ends, [this](const auto &entry) {
             const bool due = entry.first <= now;
-            if (due)
-                jobs::apply(table, ended(entry.second.task, entry.second.run, jobs::run_end::done));
+            if (due) {
+                const jobs::journal_record end
+                    = ended(entry.second.task, entry.second.run, jobs::run_end::done);
+                jobs::apply(table, end);
+            }
             return due;
         });
         jobs::updateIdleTimes(m_idle, table, now);
@@ -101,9 +114,35 @@
     kernel::milliseconds longestIdle{0};
 
 private:
+    jobs::job makeBacklogJob(const std::string &id, std::uint32_t tasks, std::int64_t millicores) const
+    {
+        jobs::step_spec spec = step(tasks, millicores, 8000);
+        spec.bestEffort = true;
+        spec.image = "reconciler";
+        spec.declaredDuration = taskDuration;
+        jobs::step_spec second = spec;
+        second.after = {0};
+        jobs::job job = makeJob(id, {spec, second});
+        job.acceptedAtMs = kernel::toMillis(now);
+        return job;
+    }
+
+    std::int64_t unreservedMillicores() const
+    {
+        std::int64_t total = 0;
+        for (const jobs::worker_info &info : m_workers) {
+            const auto load = table.loads.find(jobs::incarnationOf(info));
+            total += info.capacity.millicores
+                - (load == table.loads.end() ? 0 : load->second.guaranteed.millicores);
+        }
+        return total;
+    }
+
     void noteIdleJobs()
     {
         for (const auto &[id, job] : table.jobs) {
+            if (job.status == jobs::job_status::completed)
+                m_completedAt.try_emplace(id, now);
             if (jobs::isFinal(job.status) || job.waiting == 0 || job.assigned > 0) {
                 m_idleSince.erase(id);
                 continue;
@@ -134,6 +173,7 @@
     jobs::idle_times m_idle;
     std::map<std::string, kernel::time_point> m_idleSince;
     std::vector<std::pair<kernel::time_point, jobs::journal_record>> m_ends;
+    std::map<std::string, kernel::time_point> m_completedAt;
     std::uint32_t m_submitted = 0;
 };
 
