Reject best-effort jobs that can't complete in time

What callers see: under more best-effort work than a service can do, every job is accepted, most wait until they are of no use, and some have nothing running when they are asked for (LOST).

Change: the owner measures how much declared best-effort work of a service is done and how much of it waits; a host that is handed a job with best-effort tasks asks for the expected wait (an answer counts for 0.3 s). If the wait exceeds 60 % of the time that the job can spare within its objective, it is rejected with 429 and the time after which it has a prospect. A job that an earlier request has handed in stays accepted; without the owner's answer jobs are accepted as before.

--- a/src/daemon/node_daemon_operator.cpp
+++ b/src/daemon/node_daemon_operator.cpp
@@ -27,6 +27,9 @@
     m_counterExport.counter("almond_status_unanswered_total",
                             "Questions for a job's status that the owner left without an answer.",
                             [this] { return m_callers->counters().statusUnanswered; });
+    m_counterExport.counter("almond_jobs_rejected_total",
+                            "Jobs that were not accepted since they could not complete in time.",
+                            [this] { return m_callers->counters().jobsRejected; });
     const auto exportOrders = [this](const char *name, const char *help,
                                      std::uint64_t relay::relay_counters::*member) {
         m_counterExport.counter(name, help, [this, member] { return m_orderDispatcher->counters().*member; });
--- a/src/fleet/caller_service.cpp
+++ b/src/fleet/caller_service.cpp
@@ -14,6 +14,7 @@
 
 constexpr const char *statusCall = "job.status";
 constexpr const char *pendingCall = "queue.pending";
+constexpr const char *waitCall = "service.wait";
 
 } // namespace
 
@@ -32,6 +33,10 @@
         json response = handlePending(arguments);
         co_return response;
     });
+    m_dependencies.peers->provide(waitCall, [this](json arguments) -> task<json> {
+        json response = handleWait(arguments);
+        co_return response;
+    });
 }
 
 json caller_service::handleStatus(const json &arguments) const
@@ -51,12 +56,22 @@
     return owner->pendingJobCount(arguments.value("queue", ""));
 }
 
+json caller_service::handleWait(const json &arguments) const
+{
+    const std::shared_ptr<job_owner> owner = m_dependencies.local();
+    if (!owner)
+        return nullptr;
+    return owner->expectedWait(arguments.value("service", "")).count();
+}
+
 task<std::optional<json>> caller_service::askOwner(std::string method, json arguments,
                                                    milliseconds ownerTimeout)
 {
     std::optional<json> response;
     if (m_dependencies.local()) {
-        response = method == statusCall ? handleStatus(arguments) : handlePending(arguments);
+        response = method == statusCall ? handleStatus(arguments)
+            : method == pendingCall     ? handlePending(arguments)
+                                        : handleWait(arguments);
         co_return response;
     }
     const std::string address = m_dependencies.owner().address;
@@ -87,8 +102,53 @@
     }
 }
 
-task<call_outcome> caller_service::submit(jobs::job accepted, milliseconds timeout)
+//! Returns how long best-effort tasks of \a service wait as the owner knows it; nothing without its response.
+task<std::optional<milliseconds>> caller_service::expectedWait(std::string service)
+{
+    known_wait &known = m_waits[service];
+    const time_point now = m_dependencies.clock();
+    if (known.askedAt != time_point{} && now - known.askedAt < m_dependencies.rules.waitValidity)
+        co_return known.wait;
+    known.askedAt = now;
+    json arguments;
+    arguments["service"] = service;
+    const auto response = co_await askOwner(waitCall, arguments, m_dependencies.rules.waitTimeout);
+    known.wait.reset();
+    if (response && response->is_number_integer())
+        known.wait = milliseconds(response->get<std::int64_t>());
+    known.askedAt = m_dependencies.clock();
+    co_return known.wait;
+}
+
+//! Returns after which time \a candidate may be handed in again if it is to be rejected.
+task<std::optional<milliseconds>> caller_service::rejectionOf(const jobs::job &candidate)
 {
+    if (!candidate.queueAtAcceptance || !jobs::dependsOnBestEffort(candidate))
+        co_return std::nullopt;
+    const jobs::queue_rules &queue = candidate.queueAtAcceptance->rules;
+    const std::optional<milliseconds> wait = co_await expectedWait(queue.service);
+    if (!wait)
+        co_return std::nullopt;
+    const auto rejection = jobs::rejectionOf(candidate, queue, m_dependencies.rules.admission, *wait);
+    if (!rejection)
+        co_return std::nullopt;
+    // A job that an earlier request has handed in stays accepted.
+    const store_reply stored = co_await m_dependencies.store.get(job_key::accepted + candidate.id);
+    if (stored.status != store_status::absent)
+        co_return std::nullopt;
+    co_return rejection;
+}
+
+task<submit_result> caller_service::submit(jobs::job accepted, milliseconds timeout)
+{
+    const std::optional<milliseconds> rejection = co_await rejectionOf(accepted);
+    if (rejection) {
+        ++m_counters.jobsRejected;
+        observe::log(log_level::info, "job rejected: it could not complete in time",
+                     {{"job", accepted.id}, {"queue", accepted.queue}, {"retryAfterMs", rejection->count()}});
+        const submit_result rejected{call_outcome::overloaded, *rejection};
+        co_return rejected;
+    }
     accepted.acceptedAtMs = kernel::toMillis(m_dependencies.unixClock());
     const std::string key = job_key::accepted + accepted.id;
     const time_point startedAt = m_dependencies.clock();
@@ -100,7 +160,8 @@
                   {"queue", accepted.queue},
                   {"outcome", outcomes.at(static_cast<std::size_t>(outcome))},
                   {"tookMs", (m_dependencies.clock() - startedAt).count()}});
-    co_return outcome;
+    const submit_result result{outcome, m_dependencies.rules.retryAfter};
+    co_return result;
 }
 
 task<status_result> caller_service::status(std::string id, milliseconds timeout)
--- a/src/fleet/caller_service.h
+++ b/src/fleet/caller_service.h
@@ -18,7 +18,9 @@
     //! Nothing was done and nothing will be; the caller may try again later.
     refused,
     //! The request may have taken effect; the caller finds out by asking again.
-    unknown
+    unknown,
+    //! Not accepted: the job could not complete in time.
+    overloaded
 };
 
 struct caller_rules
@@ -33,6 +35,11 @@
     milliseconds retryDelay{50};
     //! Time after which a refused caller should try again.
     milliseconds retryAfter{1000};
+    //! Time for the owner's response on the wait of best-effort tasks.
+    milliseconds waitTimeout{250};
+    //! How long that response, or its absence, counts.
+    milliseconds waitValidity{300};
+    jobs::admission_rules admission;
 };
 
 struct status_result
@@ -41,6 +48,13 @@
     jobs::job_status status = jobs::job_status::queued;
 };
 
+struct submit_result
+{
+    call_outcome outcome = call_outcome::unknown;
+    //! When overloaded: time until the job has a prospect of completing in time.
+    milliseconds retryAfter{0};
+};
+
 struct pending_result
 {
     call_outcome outcome = call_outcome::unknown;
@@ -51,6 +65,8 @@
 {
     //! Status requests to which the owner did not respond.
     std::uint64_t statusUnanswered = 0;
+    //! Jobs that were rejected since they could not complete in time.
+    std::uint64_t jobsRejected = 0;
 };
 
 //! What a caller_service needs from its process.
@@ -77,8 +93,9 @@
     //! Registers the handlers of the calls that other processes send to the owner.
     void provideCalls();
     //! Stores \a accepted durably within \a timeout. Idempotent: submitting a job again returns ok and does
-    //! not create a second one.
-    kernel::task<call_outcome> submit(jobs::job accepted, milliseconds timeout);
+    //! not create a second one. A job that could not complete in time is not accepted; while the owner
+    //! doesn't respond, every job is.
+    kernel::task<submit_result> submit(jobs::job accepted, milliseconds timeout);
     //! Status of the job \a id from the owner. An accepted job that the owner does not know yet is queued. If
     //! the owner does not respond, the outcome is absent for a job that the store does not have, and refused
     //! for any other.
@@ -92,10 +109,20 @@
 private:
     kernel::task<call_outcome> createKey(std::string key, std::string value, milliseconds timeout);
     kernel::task<std::optional<json>> askOwner(std::string method, json arguments, milliseconds timeout);
+    kernel::task<std::optional<milliseconds>> expectedWait(std::string service);
+    kernel::task<std::optional<milliseconds>> rejectionOf(const jobs::job &candidate);
     json handleStatus(const json &arguments) const;
     json handlePending(const json &arguments) const;
+    json handleWait(const json &arguments) const;
+
+    struct known_wait
+    {
+        time_point askedAt{};
+        std::optional<milliseconds> wait;
+    };
 
     caller_service_dependencies m_dependencies;
+    std::map<std::string, known_wait, std::less<>> m_waits; // by service
     caller_counters m_counters;
 };
 
--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -136,6 +136,8 @@
     }
     for (const journal_record &record : next.records)
         m_uncommittedJobs.insert(record.task.job);
+    jobs::recordDoneWork(m_workMeters, m_dependencies.rules.admission, m_jobTable, *config, next.records,
+                         now);
     updateTimings(next.records, now);
     return next;
 }
@@ -306,6 +308,8 @@
         suspendBetweenPolls(now);
         pollOverdueWorkers(now);
         scanWaiting(now);
+        if (now - m_expectedWaitsUpdatedAt >= m_dependencies.rules.waitUpdateInterval)
+            updateExpectedWaits(now);
         if (!m_jobTable.jobsWithWaitingTasks.empty() || !m_jobTable.timers.empty())
             m_commitSignal.wake();
         if (now - m_modelRefreshedAt > m_dependencies.rules.modelRefreshInterval) {
@@ -349,6 +353,29 @@
     return count;
 }
 
+void job_owner::updateExpectedWaits(time_point now)
+{
+    m_expectedWaitsUpdatedAt = now;
+    jobs::service_loads loads = jobs::waitingWork(m_jobTable, *effectiveConfig(), m_dependencies.unixClock());
+    if (!loads.empty()) {
+        for (const auto &[incarnation, worker] : m_workers.workers()) {
+            const auto load = loads.find(worker->session.info.service);
+            if (load == loads.end())
+                continue;
+            const auto assigned = m_jobTable.loads.find(incarnation);
+            load->second.unreservedMillicores += worker->session.info.capacity.millicores
+                - (assigned == m_jobTable.loads.end() ? 0 : assigned->second.guaranteed.millicores);
+        }
+    }
+    m_expectedWaits = jobs::expectedWaits(loads, m_workMeters, m_dependencies.rules.admission, now);
+}
+
+milliseconds job_owner::expectedWait(std::string_view service) const
+{
+    const auto found = m_expectedWaits.find(service);
+    return found == m_expectedWaits.end() ? milliseconds(0) : found->second;
+}
+
 json job_owner::describeCapacity() const
 {
     const time_point now = m_dependencies.clock();
@@ -374,8 +401,12 @@
             }
         }
     }
+    json waits = json::object();
+    for (const auto &[service, wait] : m_expectedWaits)
+        waits[service] = wait.count();
     return {{"usableWorkers", usable},   {"capacityMillicores", capacity}, {"freeMillicores", free},
-            {"waitingLasting", lasting}, {"waitingToFill", fills},         {"waitingFirm", firm}};
+            {"waitingLasting", lasting}, {"waitingToFill", fills},         {"waitingFirm", firm},
+            {"expectedWaitMs", waits}};
 }
 
 json job_owner::dump() const
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -3,6 +3,7 @@
 #include "fleet/owner_election.h"
 #include "fleet/owner_metrics.h"
 #include "fleet/worker_registry.h"
+#include "jobs/admission.h"
 #include "jobs/interference.h"
 #include "jobs/job_timing.h"
 #include "jobs/miss_monitor.h"
@@ -80,6 +81,8 @@
     milliseconds clockValidity{15'000};
     //! Maximum number of tasks that one commit starts.
     std::size_t startsPerCommit = 400;
+    //! Time between two updates of the expected waits of best-effort tasks.
+    milliseconds waitUpdateInterval{250};
     //! Time between two updates of the interference model.
     milliseconds modelRefreshInterval{500};
     //! Time between two writes of the learned pairs to the store; a new owner misses at most what was learned
@@ -92,6 +95,7 @@
     jobs::poll_rules polls;
     jobs::session_rules sessions;
     jobs::evaluation_rules evaluation;
+    jobs::admission_rules admission;
 };
 
 //! Time from one commit to the next if planning took \a planning.
@@ -164,6 +168,8 @@
     std::optional<jobs::job_status> statusOf(const std::string &id) const;
     //! Number of jobs of \a queue of which no task has started.
     std::size_t pendingJobCount(const std::string &queue) const;
+    //! How long a best-effort task of \a service that becomes ready now is expected to wait.
+    milliseconds expectedWait(std::string_view service) const;
     std::size_t workerCount() const { return m_workers.size(); }
     json dump() const;
     //! Free capacity of the usable workers, and the tasks that wait for it.
@@ -269,6 +275,7 @@
     void traceListing(const std::string &id, bool listed, bool sessionKept);
     void pruneTraces(time_point now);
     void scanWaiting(time_point now);
+    void updateExpectedWaits(time_point now);
     void reportIdleTasks(time_point now);
     void updateWorkerHealth(managed_worker &worker, const jobs::poll_response &response, time_point now);
     void stopUnwantedRuns(const managed_worker_ptr &worker);
@@ -314,6 +321,9 @@
     jobs::job_timings m_timings;
     jobs::idle_times m_idleTimes;
     time_point m_idleTimesUpdatedAt{};
+    jobs::work_meters m_workMeters;
+    jobs::expected_waits m_expectedWaits;
+    time_point m_expectedWaitsUpdatedAt{};
     jobs::wait_monitor m_waitMonitor;
     jobs::miss_monitor m_missMonitor;
     //! Index of the last journal entry that an owner wrote.
--- /dev/null
+++ b/src/jobs/admission.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "jobs/fleet_config.h"
+#include "jobs/job_table.h"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+
+//! Admission of jobs with best-effort tasks: a job that has no prospect of completing in time is rejected
+//! when it is handed in. Without a bound on what is accepted, the backlog of an overloaded service grows
+//! until most accepted jobs wait for good.
+namespace almond::jobs {
+
+//! Declared work of tasks: their CPU demand times their declared duration, in millicore-milliseconds.
+using declared_work = double;
+
+struct admission_rules
+{
+    //! Time constant of the average throughput.
+    milliseconds throughputWindow{4000};
+    //! Share of the CPU that is not reserved which best-effort tasks are expected to get at least.
+    int leastCpuPercent = 25;
+    //! Share of the time that a job can spare within its objective which may pass until its tasks start: the
+    //! tasks of later steps wait as well.
+    int waitPercent = 60;
+    //! A wait up to this long is never a reason for rejection.
+    milliseconds acceptableWait{1000};
+    //! Work of steps that are not ready counts up to this multiple of the work that is ready. While nothing
+    //! that is ready waits, the service has capacity to spare.
+    int laterWorkFactor = 5;
+};
+
+//! Declared work of the best-effort tasks of one service that were done, as a decaying sum.
+struct work_meter
+{
+    declared_work done = 0.0;
+    time_point startedAt{};
+    time_point updatedAt{};
+};
+
+//! What determines how long a best-effort task of one service waits.
+struct service_load
+{
+    //! Of the best-effort tasks that are ready to start.
+    declared_work ready = 0.0;
+    //! Of those that wait for earlier steps.
+    declared_work later = 0.0;
+    std::int64_t unreservedMillicores = 0;
+};
+
+//! By service.
+using work_meters = std::map<std::string, work_meter, std::less<>>;
+using service_loads = std::map<std::string, service_load, std::less<>>;
+using expected_waits = std::map<std::string, milliseconds, std::less<>>;
+
+//! Counts the work of the tasks that were done according to \a records, which have been applied to \a table.
+void recordDoneWork(work_meters &meters, const admission_rules &rules, const job_table &table,
+                    const fleet_config &config, std::span<const journal_record> records, time_point now);
+
+//! Returns the work of the best-effort tasks that have not started, without unreserved CPU. Jobs that are far
+//! too late don't count: they don't delay others.
+service_loads waitingWork(const job_table &table, const fleet_config &config, time_point unixNow);
+
+//! Returns how long a best-effort task that becomes ready at \a now is expected to wait, for each service in
+//! \a loads.
+expected_waits expectedWaits(const service_loads &loads, const work_meters &meters,
+                             const admission_rules &rules, time_point now);
+
+//! Returns whether the prospects of \a candidate depend on the wait of best-effort tasks.
+bool dependsOnBestEffort(const job &candidate);
+
+//! Returns after which time \a candidate may be handed in again if it can't complete within the objective of
+//! \a queue after \a wait; nothing if it can.
+std::optional<milliseconds> rejectionOf(const job &candidate, const queue_rules &queue,
+                                        const admission_rules &rules, milliseconds wait);
+
+} // namespace almond::jobs
--- /dev/null
+++ b/tests/platform/rejected_job_test.cpp
@@ -0,0 +1,121 @@
+#include "fleet/caller_service.h"
+#include "platform/caller_api.h"
+#include "tests/unit/owner_fixture.h"
+
+//! Jobs that are rejected when they are handed in, since too much best-effort work waits.
+namespace {
+
+using namespace almond;
+using fleet::call_outcome;
+using kernel::milliseconds;
+using kernel::task;
+
+constexpr const char *firstJob = "0000000000000001";
+constexpr const char *secondJob = "0000000000000002";
+
+class rejected_job_test : public tests::owner_fixture
+{
+protected:
+    wire::peer_link peers{context};
+    //! Whether the owner responds.
+    bool isOwnerKnown = true;
+    fleet::caller_service service{dependencies()};
+
+    fleet::caller_service_dependencies dependencies()
+    {
+        fleet::caller_service_dependencies made;
+        made.store = store.api();
+        made.clock = kernel::monotonicNow;
+        made.unixClock = kernel::systemNow;
+        made.peers = &peers;
+        made.owner = [] { return fleet::owner_view(); };
+        made.local = [this] { return isOwnerKnown ? owner : nullptr; };
+        made.rules.waitValidity = milliseconds(0);
+        return made;
+    }
+
+    //! A job whose only step has \a tasks tasks of 2 s on 8 cores; the worker has 32.
+    jobs::job bestEffortJob(const char *id, std::uint32_t tasks) const
+    {
+        jobs::step_spec spec = tests::step(tasks, 8000);
+        spec.bestEffort = true;
+        spec.image = "reconciler";
+        spec.declaredDuration = milliseconds(2000);
+        jobs::job made = tests::makeJob(id, {spec});
+        made.queueAtAcceptance = jobs::versionOf(*config, config->queues.at("checks"));
+        return made;
+    }
+
+    fleet::submit_result submit(const jobs::job &candidate)
+    {
+        std::optional<fleet::submit_result> result;
+        tests::runToEnd(
+            context,
+            [](task<fleet::submit_result> awaited, std::optional<fleet::submit_result> *out) -> task<void> {
+                *out = co_await std::move(awaited);
+            }(service.submit(candidate, milliseconds(1000)), &result));
+        return *result;
+    }
+
+    //! Has a job accepted whose tasks the worker can't do in less than a minute, and waits until the owner
+    //! counts them.
+    void fillService()
+    {
+        EXPECT_EQ(submit(bestEffortJob(firstJob, 200)).outcome, call_outcome::ok);
+        EXPECT_TRUE(runUntil([this] { return owner->expectedWait("moderator") > milliseconds(10'000); }));
+    }
+};
+
+//! Guards against accepted jobs that never run (LOST): whatever was handed in was accepted.
+TEST_F(rejected_job_test, AJobThatCannotCompleteInTimeIsRejectedAtOnce)
+{
+    fillService();
+    const fleet::submit_result result = submit(bestEffortJob(secondJob, 4));
+    EXPECT_EQ(result.outcome, call_outcome::overloaded);
+    EXPECT_GT(result.retryAfter, milliseconds(5000));
+    EXPECT_EQ(store.revisionOf(fleet::job_key::accepted + std::string(secondJob)), 0);
+    EXPECT_EQ(service.counters().jobsRejected, 1U);
+}
+
+//! Guards against a caller who is told that its job is not accepted although an earlier request was.
+TEST_F(rejected_job_test, AnAcceptedJobThatIsHandedInAgainStaysAccepted)
+{
+    fillService();
+    EXPECT_EQ(submit(bestEffortJob(firstJob, 200)).outcome, call_outcome::ok);
+    EXPECT_EQ(service.counters().jobsRejected, 0U);
+}
+
+TEST_F(rejected_job_test, JobsWithoutBestEffortTasksAreAccepted)
+{
+    fillService();
+    jobs::job guaranteed = bestEffortJob(secondJob, 4);
+    guaranteed.steps.front().bestEffort = false;
+    EXPECT_EQ(submit(guaranteed).outcome, call_outcome::ok);
+}
+
+//! Without the owner's response a job is accepted, as before.
+TEST_F(rejected_job_test, WithoutTheOwnerJobsAreAccepted)
+{
+    fillService();
+    isOwnerKnown = false;
+    EXPECT_EQ(submit(bestEffortJob(secondJob, 4)).outcome, call_outcome::ok);
+}
+
+//! Callers learn when to come back.
+TEST_F(rejected_job_test, TheReplyNamesATimeToComeBack)
+{
+    fillService();
+    platform::caller_api api(service, [this] { return config; });
+    http::request submission(http::verb::post, std::string("/checks/") + secondJob, 11);
+    submission.set(http::field::host, "news.example");
+    submission.body() = R"({"spec":"x","steps":[{"count":4,"cpu":8000,"mem_mb":100,"estimate_ms":2000,)"
+                        R"("fills":true,"image":"i"}]})";
+    tests::runToEnd(context, [](platform::caller_api *api, http::request request) -> task<void> {
+        const http::reply reply = co_await api->handle(std::move(request));
+        EXPECT_EQ(reply.message.result(), http::status::too_many_requests);
+        const std::string_view seconds = http::header(reply.message, "Retry-After");
+        EXPECT_EQ(seconds, "30");
+    }(&api, std::move(submission)));
+}
+
+} // namespace
--- a/tests/unit/accepted_job_known_test.cpp
+++ b/tests/unit/accepted_job_known_test.cpp
@@ -79,7 +79,7 @@
 
     call_outcome submit(fleet::caller_service &at, const char *id)
     {
-        return await(at.submit(tests::makeJob(id, {tests::step(1, 500)}), milliseconds(1000)));
+        return await(at.submit(tests::makeJob(id, {tests::step(1, 500)}), milliseconds(1000))).outcome;
     }
 
     fleet::status_result statusAt(fleet::caller_service &at, const char *id)
--- a/tests/unit/backlogged_service.h
+++ b/tests/unit/backlogged_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/admission.h"
 #include "jobs/overdue_jobs.h"
 #include "tests/unit/job_fixtures.h"
 
@@ -43,7 +44,15 @@
     //! Hands in a job as a caller does. Returns its id, or nothing if it is rejected.
     std::optional<std::string> offer(std::uint32_t tasks, std::int64_t millicores)
     {
-        return submit(tasks, millicores);
+        jobs::service_loads loads = jobs::waitingWork(table, m_config, now);
+        for (auto &[service, load] : loads)
+            load.unreservedMillicores = unreservedMillicores();
+        const jobs::expected_waits waits = jobs::expectedWaits(loads, m_meters, m_admission, now);
+        const jobs::queue_rules &queue = m_config.queues.at("checks");
+        const auto wait = waits.find(queue.service);
+        const bool rejected = wait != waits.end()
+            && jobs::rejectionOf(makeBacklogJob("", tasks, millicores), queue, m_admission, wait->second);
+        return rejected ? std::nullopt : std::optional(submit(tasks, millicores));
     }
 
     //! Time from the acceptance of each job that has completed to its completion.
@@ -78,6 +87,7 @@
                 const jobs::journal_record end
                     = ended(entry.second.task, entry.second.run, jobs::run_end::done);
                 jobs::apply(table, end);
+                jobs::recordDoneWork(m_meters, m_admission, table, m_config, std::span(&end, 1), now);
             }
             return due;
         });
@@ -171,6 +181,8 @@
     std::vector<jobs::worker_info> m_workers;
     jobs::fleet_config m_config = fleetConfig();
     jobs::idle_times m_idle;
+    jobs::admission_rules m_admission;
+    jobs::work_meters m_meters;
     std::map<std::string, kernel::time_point> m_idleSince;
     std::vector<std::pair<kernel::time_point, jobs::journal_record>> m_ends;
     std::map<std::string, kernel::time_point> m_completedAt;
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -140,7 +140,7 @@
 {
     startOwner();
     fleet::caller_service service = callers();
-    ASSERT_EQ(await(service.submit(twoSteps(), kernel::milliseconds(1000))), fleet::call_outcome::ok);
+    ASSERT_EQ(await(service.submit(twoSteps(), kernel::milliseconds(1000))).outcome, fleet::call_outcome::ok);
     ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 3; }));
     EXPECT_TRUE(isStatus(job_status::running));
     workers.endAll(jobs::run_end::done);
@@ -155,7 +155,8 @@
     startOwner();
     fleet::caller_service service = callers();
     for (int time = 0; time < 3; ++time)
-        EXPECT_EQ(await(service.submit(twoSteps(), kernel::milliseconds(1000))), fleet::call_outcome::ok);
+        EXPECT_EQ(await(service.submit(twoSteps(), kernel::milliseconds(1000))).outcome,
+                  fleet::call_outcome::ok);
     ASSERT_TRUE(runUntil([this] { return workers.starts.size() == 3; }));
     expectStartedOnce(3);
 }
@@ -329,10 +330,11 @@
     startOwner();
     fleet::caller_service service = callers();
     store.down = true;
-    EXPECT_EQ(await(service.submit(twoSteps(), kernel::milliseconds(1000))), fleet::call_outcome::refused);
+    EXPECT_EQ(await(service.submit(twoSteps(), kernel::milliseconds(1000))).outcome,
+              fleet::call_outcome::refused);
     store.down = false;
     store.loseAnswers = 1;
-    EXPECT_EQ(await(service.submit(twoSteps(), kernel::milliseconds(1000))), fleet::call_outcome::ok);
+    EXPECT_EQ(await(service.submit(twoSteps(), kernel::milliseconds(1000))).outcome, fleet::call_outcome::ok);
     EXPECT_EQ(await(service.cancel("00000000000000ff", kernel::milliseconds(1000))),
               fleet::call_outcome::absent);
 }
--- a/tests/unit/node_test.cpp
+++ b/tests/unit/node_test.cpp
@@ -90,7 +90,7 @@
     boost::asio::co_spawn(
         fixture.context,
         fixture.callers->submit(tests::makeJob(jobId, {tests::step(2, 500)}), kernel::milliseconds(1000)),
-        [&](const std::exception_ptr &, fleet::call_outcome outcome) { accepted = outcome; });
+        [&](const std::exception_ptr &, fleet::submit_result result) { accepted = result.outcome; });
     ASSERT_TRUE(fixture.runUntil([&] { return accepted.has_value(); }));
     EXPECT_EQ(*accepted, fleet::call_outcome::ok);
     ASSERT_TRUE(fixture.runUntil([&] { return fixture.workers.starts.size() == 2; }));
