Count only work of the same and higher priorities in the expected wait

What callers see: an urgent best-effort job would be rejected for work that waits behind it. Change: waits are kept by service and priority; a host asks for that of the queue. rejected_job_test WorkOfALowerPriorityIsNoReasonToReject.

--- a/src/fleet/caller_service.cpp
+++ b/src/fleet/caller_service.cpp
@@ -61,7 +61,7 @@
     const std::shared_ptr<job_owner> owner = m_dependencies.local();
     if (!owner)
         return nullptr;
-    return owner->expectedWait(arguments.value("service", "")).count();
+    return owner->expectedWait(arguments.value("service", ""), arguments.value("priority", 0)).count();
 }
 
 task<std::optional<json>> caller_service::askOwner(std::string method, json arguments,
@@ -102,16 +102,18 @@
     }
 }
 
-//! Returns how long best-effort tasks of \a service wait as the owner knows it; nothing without its response.
-task<std::optional<milliseconds>> caller_service::expectedWait(std::string service)
+//! Returns how long best-effort tasks of \a service and \a priority wait as the owner knows it; nothing
+//! without its response.
+task<std::optional<milliseconds>> caller_service::expectedWait(std::string service, int priority)
 {
-    known_wait &known = m_waits[service];
+    known_wait &known = m_waits[{service, priority}];
     const time_point now = m_dependencies.clock();
     if (known.askedAt != time_point{} && now - known.askedAt < m_dependencies.rules.waitValidity)
         co_return known.wait;
     known.askedAt = now;
     json arguments;
     arguments["service"] = service;
+    arguments["priority"] = priority;
     const auto response = co_await askOwner(waitCall, arguments, m_dependencies.rules.waitTimeout);
     known.wait.reset();
     if (response && response->is_number_integer())
@@ -126,7 +128,7 @@
     if (!candidate.queueAtAcceptance || !jobs::dependsOnBestEffort(candidate))
         co_return std::nullopt;
     const jobs::queue_rules &queue = candidate.queueAtAcceptance->rules;
-    const std::optional<milliseconds> wait = co_await expectedWait(queue.service);
+    const std::optional<milliseconds> wait = co_await expectedWait(queue.service, queue.priority);
     if (!wait)
         co_return std::nullopt;
     const auto rejection = jobs::rejectionOf(candidate, queue, m_dependencies.rules.admission, *wait);
--- a/src/fleet/caller_service.h
+++ b/src/fleet/caller_service.h
@@ -4,9 +4,11 @@
 #include "wire/peer_link.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace almond::fleet {
 
@@ -109,7 +111,7 @@
 private:
     kernel::task<call_outcome> createKey(std::string key, std::string value, milliseconds timeout);
     kernel::task<std::optional<json>> askOwner(std::string method, json arguments, milliseconds timeout);
-    kernel::task<std::optional<milliseconds>> expectedWait(std::string service);
+    kernel::task<std::optional<milliseconds>> expectedWait(std::string service, int priority);
     kernel::task<std::optional<milliseconds>> rejectionOf(const jobs::job &candidate);
     json handleStatus(const json &arguments) const;
     json handlePending(const json &arguments) const;
@@ -122,7 +124,7 @@
     };
 
     caller_service_dependencies m_dependencies;
-    std::map<std::string, known_wait, std::less<>> m_waits; // by service
+    std::map<std::pair<std::string, int>, known_wait> m_waits; // by service and priority
     caller_counters m_counters;
 };
 
--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -370,10 +370,9 @@
     m_expectedWaits = jobs::expectedWaits(loads, m_workMeters, m_dependencies.rules.admission, now);
 }
 
-milliseconds job_owner::expectedWait(std::string_view service) const
+milliseconds job_owner::expectedWait(std::string_view service, int priority) const
 {
-    const auto found = m_expectedWaits.find(service);
-    return found == m_expectedWaits.end() ? milliseconds(0) : found->second;
+    return jobs::expectedWait(m_expectedWaits, service, priority);
 }
 
 json job_owner::describeCapacity() const
@@ -402,8 +401,10 @@
         }
     }
     json waits = json::object();
-    for (const auto &[service, wait] : m_expectedWaits)
-        waits[service] = wait.count();
+    for (const auto &[service, byPriority] : m_expectedWaits) {
+        for (const auto &[priority, wait] : byPriority)
+            waits[service][std::to_string(priority)] = wait.count();
+    }
     return {{"usableWorkers", usable},   {"capacityMillicores", capacity}, {"freeMillicores", free},
             {"waitingLasting", lasting}, {"waitingToFill", fills},         {"waitingFirm", firm},
             {"expectedWaitMs", waits}};
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -168,8 +168,8 @@
     std::optional<jobs::job_status> statusOf(const std::string &id) const;
     //! Number of jobs of \a queue of which no task has started.
     std::size_t pendingJobCount(const std::string &queue) const;
-    //! How long a best-effort task of \a service that becomes ready now is expected to wait.
-    milliseconds expectedWait(std::string_view service) const;
+    //! How long a best-effort task of \a service and \a priority that becomes ready now is expected to wait.
+    milliseconds expectedWait(std::string_view service, int priority) const;
     std::size_t workerCount() const { return m_workers.size(); }
     json dump() const;
     //! Free capacity of the usable workers, and the tasks that wait for it.
--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace almond::jobs {
 
@@ -72,8 +73,8 @@
                 const std::uint32_t waiting = occurrence.steps[step].waiting;
                 if (waiting == 0 || !isBestEffortBatch(spec))
                     continue;
-                service_load &load = loads[queue->second.service];
-                (isReady(jobState, occurrence, step) ? load.ready : load.later) += workOf(spec) * waiting;
+                waiting_work &work = loads[queue->second.service].waiting[queue->second.priority];
+                (isReady(jobState, occurrence, step) ? work.ready : work.later) += workOf(spec) * waiting;
             }
         }
     }
@@ -90,13 +91,30 @@
         const double measured = meter == meters.end() ? 0.0 : throughput(meter->second, rules, now);
         const double least = static_cast<double>(load.unreservedMillicores) * rules.leastCpuPercent / whole;
         const double rate = std::max({measured, least, 1.0});
-        const declared_work waiting = load.ready + std::min(load.later, load.ready * rules.laterWorkFactor);
-        constexpr double longestWaitMs = 3.6e6;
-        waits[service] = milliseconds(static_cast<std::int64_t>(std::min(waiting / rate, longestWaitMs)));
+        waiting_work ahead;
+        for (const auto &[priority, work] : load.waiting) {
+            ahead.ready += work.ready;
+            ahead.later += work.later;
+            const declared_work waiting
+                = ahead.ready + std::min(ahead.later, ahead.ready * rules.laterWorkFactor);
+            constexpr double longestWaitMs = 3.6e6;
+            waits[service][priority]
+                = milliseconds(static_cast<std::int64_t>(std::min(waiting / rate, longestWaitMs)));
+        }
     }
     return waits;
 }
 
+milliseconds expectedWait(const expected_waits &waits, std::string_view service, int priority)
+{
+    const auto known = waits.find(service);
+    if (known == waits.end())
+        return milliseconds(0);
+    // Work of lower priorities does not count.
+    const auto behind = known->second.upper_bound(priority);
+    return behind == known->second.begin() ? milliseconds(0) : std::prev(behind)->second;
+}
+
 bool dependsOnBestEffort(const job &candidate)
 {
     // Scheduled occurrences are due later, when the wait may be another one.
--- a/src/jobs/admission.h
+++ b/src/jobs/admission.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 
 //! Admission of jobs with best-effort tasks: a job that has no prospect of completing in time is rejected
 //! when it is handed in. Without a bound on what is accepted, the backlog of an overloaded service grows
@@ -40,20 +41,27 @@
     time_point updatedAt{};
 };
 
-//! What determines how long a best-effort task of one service waits.
-struct service_load
+//! Declared work of best-effort tasks that have not started.
+struct waiting_work
 {
-    //! Of the best-effort tasks that are ready to start.
+    //! Of tasks that are ready to start.
     declared_work ready = 0.0;
     //! Of those that wait for earlier steps.
     declared_work later = 0.0;
+};
+
+//! What determines how long a best-effort task of one service waits.
+struct service_load
+{
+    std::map<int, waiting_work> waiting; // by priority of the queue
     std::int64_t unreservedMillicores = 0;
 };
 
 //! By service.
 using work_meters = std::map<std::string, work_meter, std::less<>>;
 using service_loads = std::map<std::string, service_load, std::less<>>;
-using expected_waits = std::map<std::string, milliseconds, std::less<>>;
+//! By service, then by priority of the queue.
+using expected_waits = std::map<std::string, std::map<int, milliseconds>, std::less<>>;
 
 //! Counts the work of the tasks that were done according to \a records, which have been applied to \a table.
 void recordDoneWork(work_meters &meters, const admission_rules &rules, const job_table &table,
@@ -63,11 +71,14 @@
 //! too late don't count: they don't delay others.
 service_loads waitingWork(const job_table &table, const fleet_config &config, time_point unixNow);
 
-//! Returns how long a best-effort task that becomes ready at \a now is expected to wait, for each service in
-//! \a loads.
+//! Returns how long a best-effort task that becomes ready at \a now is expected to wait behind those of the
+//! same and of higher priorities, for each service and priority in \a loads.
 expected_waits expectedWaits(const service_loads &loads, const work_meters &meters,
                              const admission_rules &rules, time_point now);
 
+//! Returns the wait of best-effort tasks of \a priority on \a service.
+milliseconds expectedWait(const expected_waits &waits, std::string_view service, int priority);
+
 //! Returns whether the prospects of \a candidate depend on the wait of best-effort tasks.
 bool dependsOnBestEffort(const job &candidate);
 
--- a/tests/platform/rejected_job_test.cpp
+++ b/tests/platform/rejected_job_test.cpp
@@ -62,7 +62,7 @@
     void fillService()
     {
         EXPECT_EQ(submit(bestEffortJob(firstJob, 200)).outcome, call_outcome::ok);
-        EXPECT_TRUE(runUntil([this] { return owner->expectedWait("moderator") > milliseconds(10'000); }));
+        EXPECT_TRUE(runUntil([this] { return owner->expectedWait("moderator", 0) > milliseconds(10'000); }));
     }
 };
 
@@ -93,6 +93,17 @@
     EXPECT_EQ(submit(guaranteed).outcome, call_outcome::ok);
 }
 
+//! Guards against urgent jobs that are rejected for work which waits behind them.
+TEST_F(rejected_job_test, WorkOfALowerPriorityIsNoReasonToReject)
+{
+    jobs::job patient = bestEffortJob(firstJob, 200);
+    patient.queue = "reviews";
+    EXPECT_EQ(submit(patient).outcome, call_outcome::ok);
+    EXPECT_TRUE(runUntil([this] { return owner->expectedWait("moderator", 2) > milliseconds(10'000); }));
+    EXPECT_EQ(owner->expectedWait("moderator", 0), milliseconds(0));
+    EXPECT_EQ(submit(bestEffortJob(secondJob, 4)).outcome, call_outcome::ok);
+}
+
 //! Without the owner's response a job is accepted, as before.
 TEST_F(rejected_job_test, WithoutTheOwnerJobsAreAccepted)
 {
--- a/tests/unit/backlogged_service.h
+++ b/tests/unit/backlogged_service.h
@@ -49,10 +49,9 @@
             load.unreservedMillicores = unreservedMillicores();
         const jobs::expected_waits waits = jobs::expectedWaits(loads, m_meters, m_admission, now);
         const jobs::queue_rules &queue = m_config.queues.at("checks");
-        const auto wait = waits.find(queue.service);
-        const bool rejected = wait != waits.end()
-            && jobs::rejectionOf(makeBacklogJob("", tasks, millicores), queue, m_admission, wait->second);
-        return rejected ? std::nullopt : std::optional(submit(tasks, millicores));
+        const auto rejection = jobs::rejectionOf(makeBacklogJob("", tasks, millicores), queue, m_admission,
+                                                 jobs::expectedWait(waits, queue.service, queue.priority));
+        return rejection ? std::nullopt : std::optional(submit(tasks, millicores));
     }
 
     //! Time from the acceptance of each job that has completed to its completion.
