Give best-effort gangs their turn

Cause: only single tasks became overdue. Change: a whole gang is placed in its turn, at most eight gangs are tried in a round, and workers are held for one that does not fit. overdue_jobs_test AGangRunsAmongSingleTasks: longest idle time 15,600 ms before, within 3,000 ms now.

--- a/src/jobs/overdue_jobs.cpp
+++ b/src/jobs/overdue_jobs.cpp
@@ -8,15 +8,16 @@
 
 namespace {
 
-//! Returns a best-effort task of \a jobState that may start now; nothing if there is none. Members of a gang
-//! start together or not at all.
+//! Returns a best-effort task of \a jobState that may start now, the first one of a gang; nothing if there is
+//! none.
 std::optional<task_name> findReadyTask(const job_state &jobState)
 {
     for (const auto &[number, occurrence] : jobState.occurrences) {
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             const step_spec &spec = jobState.spec.steps[step];
             const step_state &state = occurrence.steps[step];
-            if (!spec.bestEffort || spec.gang || state.waiting == 0 || !isReady(jobState, occurrence, step))
+            const bool isComplete = !spec.gang || state.waiting == state.tasks.size();
+            if (!spec.bestEffort || state.waiting == 0 || !isComplete || !isReady(jobState, occurrence, step))
                 continue;
             const auto waiting
                 = std::find_if(state.tasks.begin(), state.tasks.end(),
@@ -94,6 +95,14 @@
         nearest->heldForOverdue = true;
 }
 
+//! Holds workers for the members of the gang of \a request, as many as \a holds allows.
+void holdWorkersForGang(planning_round &round, const placement_request &request, std::size_t &holds)
+{
+    const std::size_t members = request.spec->count;
+    for (std::size_t held = 0; held < members && holds > 0; ++held, --holds)
+        holdWorkerFor(round, request);
+}
+
 } // namespace
 
 void updateIdleTimes(idle_times &idle, const job_table &table, time_point now)
@@ -144,6 +153,7 @@
     const std::size_t placements = std::min(
         limit / 2, std::max(rules.leastPlacements, rules.examinedCandidates / round.candidates.size()));
     std::size_t holds = 1 + round.candidates.size() / rules.workersPerHold;
+    std::size_t gangs = rules.gangAttempts;
     std::map<std::string_view, bool> hasRoom; // by service
     // Smallest demand of each kind that fitted nowhere: jobs that can't be placed must not hold up the
     // others.
@@ -164,6 +174,16 @@
         const auto known = unplaced.find(placementKeyOf(request));
         if (!room->second)
             continue;
+        if (request.spec->gang) {
+            if (gangs == 0)
+                continue;
+            --gangs;
+            if (placeGang(round, request))
+                round.placedEarly.insert(request.first);
+            else
+                holdWorkersForGang(round, request, holds);
+            continue;
+        }
         const bool isHopeless = known != unplaced.end() && fits(known->second, demand);
         const std::ptrdiff_t chosen = isHopeless ? -1 : chooseCandidate(round, request, {});
         if (chosen < 0) {
--- a/src/jobs/overdue_jobs.h
+++ b/src/jobs/overdue_jobs.h
@@ -29,6 +29,8 @@
     //! number of these tasks that is permitted on any fleet.
     std::size_t examinedCandidates = 60'000;
     std::size_t leastPlacements = 8;
+    //! Gangs that are tried in one round: each takes a copy of the round.
+    std::size_t gangAttempts = 8;
     //! One worker in this many is held free of further best-effort tasks for an overdue task that finds too
     //! little CPU anywhere.
     std::size_t workersPerHold = 100;
@@ -44,8 +46,8 @@
 //! Returns the ids of the jobs that are overdue at \a now, longest idle first.
 std::vector<std::string> overdueJobs(const idle_times &idle, const overdue_rules &rules, time_point now);
 
-//! Places one task of each job in \a overdue before all other work, so that under overload every job makes
-//! progress and not only those that can still be in time. Uses up at most half of \a limit.
+//! Places one task, or one gang, of each job in \a overdue before all other work, so that under overload
+//! every job makes progress and not only those that can still be in time. Uses up at most half of \a limit.
 void placeOverdue(planning_round &round, const fleet_config &config, const overdue_rules &rules,
                   std::span<const std::string> overdue, std::size_t limit);
 
--- a/src/jobs/placement_round.cpp
+++ b/src/jobs/placement_round.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
+#include <string>
+#include <utility>
 
 namespace almond::jobs {
 
@@ -119,6 +122,25 @@
     worker.available = worker.available - guaranteed;
 }
 
+bool tryPlaceGang(planning_round &round, const placement_request &task, std::string_view rack,
+                  std::uint32_t run)
+{
+    planning_round trial = round;
+    const ready_step &step = *task.step;
+    const auto count = static_cast<std::uint32_t>(
+        step.jobState->occurrences.at(step.occurrence).steps[step.step].tasks.size());
+    for (std::uint32_t index = 0; index < count; ++index) {
+        const std::ptrdiff_t chosen = chooseCandidate(trial, task, rack);
+        if (chosen < 0)
+            return false;
+        place(trial, task, index, run, static_cast<std::size_t>(chosen));
+    }
+    round.candidates = std::move(trial.candidates);
+    round.placed = std::move(trial.placed);
+    round.records = std::move(trial.records);
+    return true;
+}
+
 } // namespace
 
 bool hasSpareCpu(const candidate &worker, std::int64_t millicores)
@@ -206,6 +228,27 @@
     round.records.push_back(std::move(record));
 }
 
+bool placeGang(planning_round &round, const placement_request &task)
+{
+    const ready_step &step = *task.step;
+    const step_state &state = step.jobState->occurrences.at(step.occurrence).steps[step.step];
+    if (state.waiting < state.tasks.size() || round.placedEarly.contains(task.first))
+        return false;
+    std::uint32_t run = 0;
+    for (const task_state &member : state.tasks)
+        run = std::max(run, member.run);
+    if (task.spec->sameRack) {
+        std::set<std::string> racks;
+        for (const candidate &worker : round.candidates)
+            racks.insert(worker.info.rack);
+        for (const std::string &rack : racks) {
+            if (!rack.empty() && tryPlaceGang(round, task, rack, run + 1))
+                return true;
+        }
+    }
+    return tryPlaceGang(round, task, {}, run + 1);
+}
+
 candidate_ranking::candidate_ranking(const planning_round &round, const placement_request &task)
     : m_round(round)
     , m_task(task)
--- a/src/jobs/placement_round.h
+++ b/src/jobs/placement_round.h
@@ -86,6 +86,10 @@
 void place(planning_round &round, const placement_request &task, std::uint32_t index, std::uint32_t run,
            std::size_t candidateIndex);
 
+//! Places all members of the gang of \a task in one decision with one run number, or none: on one rack if the
+//! step asks for it and a rack has enough free capacity. Returns whether they were placed now.
+bool placeGang(planning_round &round, const placement_request &task);
+
 //! The candidates for the tasks of one step, best first. Placing a task changes only its own candidate, so
 //! the next best one is found without another pass over the fleet.
 class candidate_ranking
--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -186,46 +186,6 @@
     }
 }
 
-bool tryPlaceGang(planning_round &round, const ready_step &step, std::string_view rack, std::uint32_t run)
-{
-    planning_round trial = round;
-    const placement_request task = placementRequestOf(round, step);
-    const auto count = static_cast<std::uint32_t>(
-        step.jobState->occurrences.at(step.occurrence).steps[step.step].tasks.size());
-    for (std::uint32_t index = 0; index < count; ++index) {
-        const std::ptrdiff_t chosen = chooseCandidate(trial, task, rack);
-        if (chosen < 0)
-            return false;
-        place(trial, task, index, run, static_cast<std::size_t>(chosen));
-    }
-    round.candidates = std::move(trial.candidates);
-    round.placed = std::move(trial.placed);
-    round.records = std::move(trial.records);
-    return true;
-}
-
-//! Starts all members in one decision with one run number; on one rack if the step asks for it and a rack has
-//! enough free capacity.
-void placeGang(planning_round &round, const ready_step &step)
-{
-    const step_state &state = step.jobState->occurrences.at(step.occurrence).steps[step.step];
-    if (state.waiting < state.tasks.size())
-        return;
-    std::uint32_t run = 0;
-    for (const task_state &task : state.tasks)
-        run = std::max(run, task.run);
-    if (step.jobState->spec.steps[step.step].sameRack) {
-        std::set<std::string> racks;
-        for (const candidate &worker : round.candidates)
-            racks.insert(worker.info.rack);
-        for (const std::string &rack : racks) {
-            if (!rack.empty() && tryPlaceGang(round, step, rack, run + 1))
-                return;
-        }
-    }
-    tryPlaceGang(round, step, {}, run + 1);
-}
-
 //! Places the steps of one priority; \a ready is sorted.
 void placePriority(planning_round &round, std::span<const ready_step> ready, std::size_t limit,
                    time_point unixNow)
@@ -235,7 +195,7 @@
         if (round.records.size() >= limit)
             return;
         if (step.jobState->spec.steps[step.step].gang)
-            placeGang(round, step);
+            placeGang(round, placementRequestOf(round, step));
         else
             placeTasks(round, step, limit);
     }
--- a/tests/unit/backlogged_service.h
+++ b/tests/unit/backlogged_service.h
@@ -33,11 +33,14 @@
     }
 
     //! Adds a job of two steps of best-effort tasks, accepted now. Returns its id.
-    std::string submit(std::uint32_t tasks, std::int64_t millicores)
+    std::string submit(std::uint32_t tasks, std::int64_t millicores, bool gang = false)
     {
         std::string id = std::to_string(m_submitted++);
         id.insert(0, 16 - id.size(), '0');
-        jobs::addJob(table, makeBacklogJob(id, tasks, millicores));
+        jobs::job job = makeBacklogJob(id, tasks, millicores);
+        for (jobs::step_spec &step : job.steps)
+            step.gang = gang;
+        jobs::addJob(table, job);
         return id;
     }
 
--- a/tests/unit/overdue_jobs_test.cpp
+++ b/tests/unit/overdue_jobs_test.cpp
@@ -42,6 +42,20 @@
     EXPECT_LE(service.longestIdle, longestPermittedIdle);
 }
 
+//! The same for a gang, whose members start together or not at all.
+TEST(OverdueJobs, AGangRunsAmongSingleTasks)
+{
+    backlogged_service service(20);
+    for (int second = 0; second < 20; ++second) {
+        for (int job = 0; job < 6; ++job)
+            service.submit(16, 9000);
+        if (second == 5)
+            service.submit(14, 9000, true);
+        service.playFor(milliseconds(1000));
+    }
+    EXPECT_LE(service.longestIdle, longestPermittedIdle);
+}
+
 //! After the arrivals have ended, as at the end of a day.
 TEST(OverdueJobs, EachJobOfABacklogKeepsRunningUntilItIsWorkedOff)
 {
