Judge the expected wait after planning, by the CPU left to best-effort tasks

What callers see: best-effort jobs were rejected although there was room for them. Cause: the wait counted tasks that the next round places, and the least throughput was 25 % of the CPU that is not reserved, where serving tasks reserve nearly all. Few accepted jobs made the measured throughput low, which rejected more. Change: the wait is judged after a planning round, and best-effort tasks are expected to use at least 60 % of the CPU that is left to them, the unused part of what serving tasks reserve included. accepted_backlog_test NothingIsRejectedBelowCapacity failed before (a burst into a service with room).

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -120,6 +120,8 @@
         jobs::updateIdleTimes(m_idleTimes, m_jobTable, now);
         m_idleTimesUpdatedAt = now;
     }
+    if (m_jobTable.jobsWithWaitingTasks.empty())
+        m_expectedWaits.clear();
     if (mayStart(now) && !m_jobTable.jobsWithWaitingTasks.empty()) {
         const std::vector<std::string> overdue = jobs::overdueJobs(m_idleTimes, {}, now);
         for (journal_record &record :
@@ -133,6 +135,8 @@
                                      record.run);
             next.records.push_back(std::move(record));
         }
+        if (now - m_expectedWaitsUpdatedAt >= m_dependencies.rules.waitUpdateInterval)
+            updateExpectedWaits(now);
     }
     for (const journal_record &record : next.records)
         m_uncommittedJobs.insert(record.task.job);
@@ -308,8 +312,6 @@
         suspendBetweenPolls(now);
         pollOverdueWorkers(now);
         scanWaiting(now);
-        if (now - m_expectedWaitsUpdatedAt >= m_dependencies.rules.waitUpdateInterval)
-            updateExpectedWaits(now);
         if (!m_jobTable.jobsWithWaitingTasks.empty() || !m_jobTable.timers.empty())
             m_commitSignal.wake();
         if (now - m_modelRefreshedAt > m_dependencies.rules.modelRefreshInterval) {
@@ -357,15 +359,13 @@
 {
     m_expectedWaitsUpdatedAt = now;
     jobs::service_loads loads = jobs::waitingWork(m_jobTable, *effectiveConfig(), m_dependencies.unixClock());
-    if (!loads.empty()) {
-        for (const auto &[incarnation, worker] : m_workers.workers()) {
-            const auto load = loads.find(worker->session.info.service);
-            if (load == loads.end())
-                continue;
-            const auto assigned = m_jobTable.loads.find(incarnation);
-            load->second.unreservedMillicores += worker->session.info.capacity.millicores
-                - (assigned == m_jobTable.loads.end() ? 0 : assigned->second.guaranteed.millicores);
-        }
+    for (const auto &[incarnation, worker] : m_workers.workers()) {
+        const auto load = loads.find(worker->session.info.service);
+        if (load == loads.end())
+            continue;
+        const auto assigned = m_jobTable.loads.find(incarnation);
+        load->second.bestEffortMillicores += jobs::bestEffortCapacity(
+            worker->session.info, assigned == m_jobTable.loads.end() ? nullptr : &assigned->second);
     }
     m_expectedWaits = jobs::expectedWaits(loads, m_workMeters, m_dependencies.rules.admission, now);
 }
--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -89,7 +89,7 @@
     for (const auto &[service, load] : loads) {
         const auto meter = meters.find(service);
         const double measured = meter == meters.end() ? 0.0 : throughput(meter->second, rules, now);
-        const double least = static_cast<double>(load.unreservedMillicores) * rules.leastCpuPercent / whole;
+        const double least = static_cast<double>(load.bestEffortMillicores) * rules.leastUsePercent / whole;
         const double rate = std::max({measured, least, 1.0});
         waiting_work ahead;
         for (const auto &[priority, work] : load.waiting) {
--- a/src/jobs/admission.h
+++ b/src/jobs/admission.h
@@ -21,8 +21,9 @@
 {
     //! Time constant of the average throughput.
     milliseconds throughputWindow{4000};
-    //! Share of the CPU that is not reserved which best-effort tasks are expected to get at least.
-    int leastCpuPercent = 25;
+    //! Share of the CPU that is left to best-effort tasks which they are expected to use at least while more
+    //! of them wait.
+    int leastUsePercent = 60;
     //! Share of the time that a job can spare within its objective which may pass until its tasks start: the
     //! tasks of later steps wait as well.
     int waitPercent = 60;
@@ -54,7 +55,8 @@
 struct service_load
 {
     std::map<int, waiting_work> waiting; // by priority of the queue
-    std::int64_t unreservedMillicores = 0;
+    //! CPU that is left to best-effort tasks.
+    std::int64_t bestEffortMillicores = 0;
 };
 
 //! By service.
@@ -67,8 +69,9 @@
 void recordDoneWork(work_meters &meters, const admission_rules &rules, const job_table &table,
                     const fleet_config &config, std::span<const journal_record> records, time_point now);
 
-//! Returns the work of the best-effort tasks that have not started, without unreserved CPU. Jobs that are far
-//! too late don't count: they don't delay others.
+//! Returns the work of the best-effort tasks that have not started, without CPU that is left to them. To be
+//! asked after a planning round: what the round has placed does not wait. Jobs that are far too late don't
+//! count, since they don't delay others.
 service_loads waitingWork(const job_table &table, const fleet_config &config, time_point unixNow);
 
 //! Returns how long a best-effort task that becomes ready at \a now is expected to wait behind those of the
--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -203,6 +203,14 @@
 
 } // namespace
 
+std::int64_t bestEffortCapacity(const worker_info &worker, const worker_load *load)
+{
+    if (!load)
+        return worker.capacity.millicores;
+    const std::int64_t idle = load->longRunningMillicores * (100 - servingUsePercent) / 100;
+    return worker.capacity.millicores - load->guaranteed.millicores + idle;
+}
+
 candidate makeCandidate(const worker_info &worker, const worker_load *load)
 {
     candidate result{incarnationOf(worker), worker, worker.capacity, worker.capacity.millicores, 0, {}};
@@ -210,8 +218,7 @@
         return result;
     result.available = worker.capacity - load->guaranteed;
     result.bestEffortMillicores = load->bestEffortMillicores;
-    const std::int64_t idle = load->longRunningMillicores * (100 - servingUsePercent) / 100;
-    result.spareMillicores = result.available.millicores + idle - load->bestEffortMillicores;
+    result.spareMillicores = bestEffortCapacity(worker, load) - load->bestEffortMillicores;
     return result;
 }
 
--- a/src/jobs/planner.h
+++ b/src/jobs/planner.h
@@ -72,6 +72,10 @@
     std::array<std::size_t, placementRefusalCount> refusing{};
 };
 
+//! CPU in millicores that all best-effort tasks on \a worker can expect together beside the other tasks in
+//! \a load; \a load is null for an idle worker.
+std::int64_t bestEffortCapacity(const worker_info &worker, const worker_load *load);
+
 //! Returns \a worker as a candidate without the resources of \a load; \a load is null for an idle worker.
 candidate makeCandidate(const worker_info &worker, const worker_load *load);
 
