Judge the expected wait by image as well

Change: the wait is the shorter one of that behind all tasks and that behind tasks of the same image. rejected_job_test WorkOfAnotherImageThatWaitsIsNoReasonToReject.

--- a/src/fleet/caller_service.cpp
+++ b/src/fleet/caller_service.cpp
@@ -61,7 +61,12 @@
     const std::shared_ptr<job_owner> owner = m_dependencies.local();
     if (!owner)
         return nullptr;
-    return owner->expectedWait(arguments.value("service", ""), arguments.value("priority", 0)).count();
+    milliseconds longest{0};
+    for (const std::string &image : arguments.value("images", std::vector<std::string>{}))
+        longest = std::max(
+            longest,
+            owner->expectedWait(arguments.value("service", ""), arguments.value("priority", 0), image));
+    return longest.count();
 }
 
 task<std::optional<json>> caller_service::askOwner(std::string method, json arguments,
@@ -102,23 +107,23 @@
     }
 }
 
-//! Returns how long best-effort tasks of \a service and \a priority wait as the owner knows it; nothing
+//! Returns how long the best-effort tasks that \a arguments describe wait, as the owner knows it; nothing
 //! without its response.
-task<std::optional<milliseconds>> caller_service::expectedWait(std::string service, int priority)
+task<std::optional<milliseconds>> caller_service::expectedWait(json arguments)
 {
-    known_wait &known = m_waits[{service, priority}];
     const time_point now = m_dependencies.clock();
-    if (known.askedAt != time_point{} && now - known.askedAt < m_dependencies.rules.waitValidity)
-        co_return known.wait;
-    known.askedAt = now;
-    json arguments;
-    arguments["service"] = service;
-    arguments["priority"] = priority;
-    const auto response = co_await askOwner(waitCall, arguments, m_dependencies.rules.waitTimeout);
-    known.wait.reset();
+    const milliseconds validity = m_dependencies.rules.waitValidity;
+    std::erase_if(m_waits, [&](const auto &entry) { return now - entry.second.askedAt >= validity; });
+    const std::string key = arguments.dump();
+    const auto cached = m_waits.find(key);
+    if (cached != m_waits.end())
+        co_return cached->second.wait;
+    m_waits[key].askedAt = now;
+    const auto response = co_await askOwner(waitCall, std::move(arguments), m_dependencies.rules.waitTimeout);
+    known_wait &known = m_waits[key];
+    known.askedAt = m_dependencies.clock();
     if (response && response->is_number_integer())
         known.wait = milliseconds(response->get<std::int64_t>());
-    known.askedAt = m_dependencies.clock();
     co_return known.wait;
 }
 
@@ -128,7 +133,11 @@
     if (!candidate.queueAtAcceptance || !jobs::dependsOnBestEffort(candidate))
         co_return std::nullopt;
     const jobs::queue_rules &queue = candidate.queueAtAcceptance->rules;
-    const std::optional<milliseconds> wait = co_await expectedWait(queue.service, queue.priority);
+    json arguments;
+    arguments["service"] = queue.service;
+    arguments["priority"] = queue.priority;
+    arguments["images"] = jobs::bestEffortImages(candidate);
+    const std::optional<milliseconds> wait = co_await expectedWait(std::move(arguments));
     if (!wait)
         co_return std::nullopt;
     const auto rejection = jobs::rejectionOf(candidate, queue, m_dependencies.rules.admission, *wait);
--- a/src/fleet/caller_service.h
+++ b/src/fleet/caller_service.h
@@ -8,7 +8,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <utility>
 
 namespace almond::fleet {
 
@@ -111,7 +110,7 @@
 private:
     kernel::task<call_outcome> createKey(std::string key, std::string value, milliseconds timeout);
     kernel::task<std::optional<json>> askOwner(std::string method, json arguments, milliseconds timeout);
-    kernel::task<std::optional<milliseconds>> expectedWait(std::string service, int priority);
+    kernel::task<std::optional<milliseconds>> expectedWait(json arguments);
     kernel::task<std::optional<milliseconds>> rejectionOf(const jobs::job &candidate);
     json handleStatus(const json &arguments) const;
     json handlePending(const json &arguments) const;
@@ -124,7 +123,7 @@
     };
 
     caller_service_dependencies m_dependencies;
-    std::map<std::pair<std::string, int>, known_wait> m_waits; // by service and priority
+    std::map<std::string, known_wait> m_waits; // by arguments of the question
     caller_counters m_counters;
 };
 
--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -140,7 +140,7 @@
     }
     for (const journal_record &record : next.records)
         m_uncommittedJobs.insert(record.task.job);
-    jobs::recordDoneWork(m_workMeters, m_dependencies.rules.admission, m_jobTable, *config, next.records,
+    jobs::recordDoneWork(m_throughputs, m_dependencies.rules.admission, m_jobTable, *config, next.records,
                          now);
     updateTimings(next.records, now);
     return next;
@@ -367,12 +367,12 @@
         load->second.bestEffortMillicores += jobs::bestEffortCapacity(
             worker->session.info, assigned == m_jobTable.loads.end() ? nullptr : &assigned->second);
     }
-    m_expectedWaits = jobs::expectedWaits(loads, m_workMeters, m_dependencies.rules.admission, now);
+    m_expectedWaits = jobs::expectedWaits(loads, m_throughputs, m_dependencies.rules.admission, now);
 }
 
-milliseconds job_owner::expectedWait(std::string_view service, int priority) const
+milliseconds job_owner::expectedWait(std::string_view service, int priority, const std::string &image) const
 {
-    return jobs::expectedWait(m_expectedWaits, service, priority);
+    return jobs::expectedWait(m_expectedWaits, service, priority, image);
 }
 
 json job_owner::describeCapacity() const
@@ -401,8 +401,8 @@
         }
     }
     json waits = json::object();
-    for (const auto &[service, byPriority] : m_expectedWaits) {
-        for (const auto &[priority, wait] : byPriority)
+    for (const auto &[service, found] : m_expectedWaits) {
+        for (const auto &[priority, wait] : found.all)
             waits[service][std::to_string(priority)] = wait.count();
     }
     return {{"usableWorkers", usable},   {"capacityMillicores", capacity}, {"freeMillicores", free},
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -168,8 +168,9 @@
     std::optional<jobs::job_status> statusOf(const std::string &id) const;
     //! Number of jobs of \a queue of which no task has started.
     std::size_t pendingJobCount(const std::string &queue) const;
-    //! How long a best-effort task of \a service and \a priority that becomes ready now is expected to wait.
-    milliseconds expectedWait(std::string_view service, int priority) const;
+    //! How long a best-effort task of \a image in a queue of \a service and \a priority that becomes ready
+    //! now is expected to wait.
+    milliseconds expectedWait(std::string_view service, int priority, const std::string &image) const;
     std::size_t workerCount() const { return m_workers.size(); }
     json dump() const;
     //! Free capacity of the usable workers, and the tasks that wait for it.
@@ -321,7 +322,7 @@
     jobs::job_timings m_timings;
     jobs::idle_times m_idleTimes;
     time_point m_idleTimesUpdatedAt{};
-    jobs::work_meters m_workMeters;
+    jobs::service_throughputs m_throughputs;
     jobs::expected_waits m_expectedWaits;
     time_point m_expectedWaitsUpdatedAt{};
     jobs::wait_monitor m_waitMonitor;
--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -27,8 +27,10 @@
 }
 
 //! Returns the average rate at which work was done, in millicores.
-double throughput(const work_meter &meter, const admission_rules &rules, time_point now)
+double rateOf(const work_meter &meter, const admission_rules &rules, time_point now)
 {
+    if (meter.startedAt == time_point{})
+        return 0.0;
     const double weight = 1.0 - decayFactor(meter.startedAt, now, rules.throughputWindow);
     if (weight <= 0.0)
         return 0.0;
@@ -36,9 +38,58 @@
     return done / (weight * static_cast<double>(rules.throughputWindow.count()));
 }
 
+void addWork(work_meter &meter, const admission_rules &rules, declared_work work, time_point now)
+{
+    if (meter.startedAt == time_point{})
+        meter.startedAt = now;
+    meter.done = meter.done * decayFactor(meter.updatedAt, now, rules.throughputWindow) + work;
+    meter.updatedAt = now;
+}
+
+//! Returns how long it takes to do \a work at \a rate, in millicores.
+milliseconds timeFor(const waiting_work &work, const admission_rules &rules, double rate)
+{
+    constexpr double longestMs = 3.6e6;
+    const declared_work counted = work.ready + std::min(work.later, work.ready * rules.laterWorkFactor);
+    return milliseconds(static_cast<std::int64_t>(std::min(counted / std::max(rate, 1.0), longestMs)));
+}
+
+waiting_work operator+(const waiting_work &left, const waiting_work &right)
+{
+    return {left.ready + right.ready, left.later + right.later};
+}
+
+service_waits waitsOf(const service_load &load, const service_throughput &throughput,
+                      const admission_rules &rules, time_point now)
+{
+    constexpr double whole = 100.0;
+    const double least = static_cast<double>(load.bestEffortMillicores) * rules.leastUsePercent / whole;
+    std::map<int, waiting_work> byPriority;
+    service_waits waits;
+    std::string image;
+    waiting_work ofImage;
+    for (const auto &[key, work] : load.waiting) {
+        byPriority[key.second] = byPriority[key.second] + work;
+        if (key.first != image)
+            ofImage = {};
+        image = key.first;
+        ofImage = ofImage + work;
+        const auto meter = throughput.byImage.find(image);
+        const double rate = meter == throughput.byImage.end() ? 0.0 : rateOf(meter->second, rules, now);
+        waits.byImage[key] = timeFor(ofImage, rules, rate);
+    }
+    waiting_work ahead;
+    const double rate = std::max(rateOf(throughput.all, rules, now), least);
+    for (const auto &[priority, work] : byPriority) {
+        ahead = ahead + work;
+        waits.all[priority] = timeFor(ahead, rules, rate);
+    }
+    return waits;
+}
+
 } // namespace
 
-void recordDoneWork(work_meters &meters, const admission_rules &rules, const job_table &table,
+void recordDoneWork(service_throughputs &throughputs, const admission_rules &rules, const job_table &table,
                     const fleet_config &config, std::span<const journal_record> records, time_point now)
 {
     for (const journal_record &record : records) {
@@ -50,10 +101,9 @@
         const auto queue = config.queues.find(table.jobs.find(record.task.job)->second.spec.queue);
         if (queue == config.queues.end())
             continue;
-        const auto [place, added] = meters.try_emplace(queue->second.service, work_meter{0.0, now, now});
-        work_meter &meter = place->second;
-        meter.done = meter.done * decayFactor(meter.updatedAt, now, rules.throughputWindow) + workOf(*spec);
-        meter.updatedAt = now;
+        service_throughput &throughput = throughputs[queue->second.service];
+        addWork(throughput.all, rules, workOf(*spec), now);
+        addWork(throughput.byImage[spec->image], rules, workOf(*spec), now);
     }
 }
 
@@ -73,7 +123,8 @@
                 const std::uint32_t waiting = occurrence.steps[step].waiting;
                 if (waiting == 0 || !isBestEffortBatch(spec))
                     continue;
-                waiting_work &work = loads[queue->second.service].waiting[queue->second.priority];
+                waiting_work &work
+                    = loads[queue->second.service].waiting[{spec.image, queue->second.priority}];
                 (isReady(jobState, occurrence, step) ? work.ready : work.later) += workOf(spec) * waiting;
             }
         }
@@ -81,38 +132,41 @@
     return loads;
 }
 
-expected_waits expectedWaits(const service_loads &loads, const work_meters &meters,
+expected_waits expectedWaits(const service_loads &loads, const service_throughputs &throughputs,
                              const admission_rules &rules, time_point now)
 {
-    constexpr double whole = 100.0;
     expected_waits waits;
     for (const auto &[service, load] : loads) {
-        const auto meter = meters.find(service);
-        const double measured = meter == meters.end() ? 0.0 : throughput(meter->second, rules, now);
-        const double least = static_cast<double>(load.bestEffortMillicores) * rules.leastUsePercent / whole;
-        const double rate = std::max({measured, least, 1.0});
-        waiting_work ahead;
-        for (const auto &[priority, work] : load.waiting) {
-            ahead.ready += work.ready;
-            ahead.later += work.later;
-            const declared_work waiting
-                = ahead.ready + std::min(ahead.later, ahead.ready * rules.laterWorkFactor);
-            constexpr double longestWaitMs = 3.6e6;
-            waits[service][priority]
-                = milliseconds(static_cast<std::int64_t>(std::min(waiting / rate, longestWaitMs)));
-        }
+        const auto known = throughputs.find(service);
+        waits[service]
+            = waitsOf(load, known == throughputs.end() ? service_throughput{} : known->second, rules, now);
     }
     return waits;
 }
 
-milliseconds expectedWait(const expected_waits &waits, std::string_view service, int priority)
+milliseconds expectedWait(const expected_waits &waits, std::string_view service, int priority,
+                          const std::string &image)
 {
     const auto known = waits.find(service);
     if (known == waits.end())
         return milliseconds(0);
     // Work of lower priorities does not count.
-    const auto behind = known->second.upper_bound(priority);
-    return behind == known->second.begin() ? milliseconds(0) : std::prev(behind)->second;
+    const service_waits &found = known->second;
+    const auto all = found.all.upper_bound(priority);
+    const auto same = found.byImage.upper_bound({image, priority});
+    if (all == found.all.begin() || same == found.byImage.begin() || std::prev(same)->first.first != image)
+        return milliseconds(0);
+    return std::min(std::prev(all)->second, std::prev(same)->second);
+}
+
+std::set<std::string> bestEffortImages(const job &candidate)
+{
+    std::set<std::string> images;
+    for (const step_spec &step : candidate.steps) {
+        if (isBestEffortBatch(step))
+            images.insert(step.image);
+    }
+    return images;
 }
 
 bool dependsOnBestEffort(const job &candidate)
--- a/src/jobs/admission.h
+++ b/src/jobs/admission.h
@@ -5,9 +5,11 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 
 //! Admission of jobs with best-effort tasks: a job that has no prospect of completing in time is rejected
 //! when it is handed in. Without a bound on what is accepted, the backlog of an overloaded service grows
@@ -34,7 +36,7 @@
     int laterWorkFactor = 5;
 };
 
-//! Declared work of the best-effort tasks of one service that were done, as a decaying sum.
+//! Declared work of best-effort tasks that were done, as a decaying sum.
 struct work_meter
 {
     declared_work done = 0.0;
@@ -54,19 +56,34 @@
 //! What determines how long a best-effort task of one service waits.
 struct service_load
 {
-    std::map<int, waiting_work> waiting; // by priority of the queue
+    //! By image of the tasks and priority of the queue.
+    std::map<std::pair<std::string, int>, waiting_work> waiting;
     //! CPU that is left to best-effort tasks.
     std::int64_t bestEffortMillicores = 0;
 };
 
+struct service_throughput
+{
+    work_meter all;
+    std::map<std::string, work_meter, std::less<>> byImage;
+};
+
+//! How long best-effort tasks of one service wait.
+struct service_waits
+{
+    std::map<int, milliseconds> all; // by priority of the queue
+    //! Behind tasks of the same image alone: where tasks that disturb serving tasks find no worker, others
+    //! may.
+    std::map<std::pair<std::string, int>, milliseconds> byImage;
+};
+
 //! By service.
-using work_meters = std::map<std::string, work_meter, std::less<>>;
+using service_throughputs = std::map<std::string, service_throughput, std::less<>>;
 using service_loads = std::map<std::string, service_load, std::less<>>;
-//! By service, then by priority of the queue.
-using expected_waits = std::map<std::string, std::map<int, milliseconds>, std::less<>>;
+using expected_waits = std::map<std::string, service_waits, std::less<>>;
 
 //! Counts the work of the tasks that were done according to \a records, which have been applied to \a table.
-void recordDoneWork(work_meters &meters, const admission_rules &rules, const job_table &table,
+void recordDoneWork(service_throughputs &throughputs, const admission_rules &rules, const job_table &table,
                     const fleet_config &config, std::span<const journal_record> records, time_point now);
 
 //! Returns the work of the best-effort tasks that have not started, without CPU that is left to them. To be
@@ -76,11 +93,16 @@
 
 //! Returns how long a best-effort task that becomes ready at \a now is expected to wait behind those of the
 //! same and of higher priorities, for each service and priority in \a loads.
-expected_waits expectedWaits(const service_loads &loads, const work_meters &meters,
+expected_waits expectedWaits(const service_loads &loads, const service_throughputs &throughputs,
                              const admission_rules &rules, time_point now);
 
-//! Returns the wait of best-effort tasks of \a priority on \a service.
-milliseconds expectedWait(const expected_waits &waits, std::string_view service, int priority);
+//! Returns the wait of best-effort tasks of \a image and \a priority on \a service: behind all others or
+//! behind those of the same image, whichever is shorter.
+milliseconds expectedWait(const expected_waits &waits, std::string_view service, int priority,
+                          const std::string &image);
+
+//! Returns the images of the best-effort tasks of \a candidate.
+std::set<std::string> bestEffortImages(const job &candidate);
 
 //! Returns whether the prospects of \a candidate depend on the wait of best-effort tasks.
 bool dependsOnBestEffort(const job &candidate);
--- a/tests/platform/rejected_job_test.cpp
+++ b/tests/platform/rejected_job_test.cpp
@@ -62,7 +62,8 @@
     void fillService()
     {
         EXPECT_EQ(submit(bestEffortJob(firstJob, 200)).outcome, call_outcome::ok);
-        EXPECT_TRUE(runUntil([this] { return owner->expectedWait("moderator", 0) > milliseconds(10'000); }));
+        EXPECT_TRUE(runUntil(
+            [this] { return owner->expectedWait("moderator", 0, "reconciler") > milliseconds(10'000); }));
     }
 };
 
@@ -99,11 +100,21 @@
     jobs::job patient = bestEffortJob(firstJob, 200);
     patient.queue = "reviews";
     EXPECT_EQ(submit(patient).outcome, call_outcome::ok);
-    EXPECT_TRUE(runUntil([this] { return owner->expectedWait("moderator", 2) > milliseconds(10'000); }));
-    EXPECT_EQ(owner->expectedWait("moderator", 0), milliseconds(0));
+    EXPECT_TRUE(runUntil(
+        [this] { return owner->expectedWait("moderator", 2, "reconciler") > milliseconds(10'000); }));
+    EXPECT_EQ(owner->expectedWait("moderator", 0, "reconciler"), milliseconds(0));
     EXPECT_EQ(submit(bestEffortJob(secondJob, 4)).outcome, call_outcome::ok);
 }
 
+//! Guards against jobs that are rejected for others which find no worker beside the serving tasks.
+TEST_F(rejected_job_test, WorkOfAnotherImageThatWaitsIsNoReasonToReject)
+{
+    fillService();
+    jobs::job harmless = bestEffortJob(secondJob, 4);
+    harmless.steps.front().image = "harmless";
+    EXPECT_EQ(submit(harmless).outcome, call_outcome::ok);
+}
+
 //! Without the owner's response a job is accepted, as before.
 TEST_F(rejected_job_test, WithoutTheOwnerJobsAreAccepted)
 {
@@ -120,7 +131,7 @@
     http::request submission(http::verb::post, std::string("/checks/") + secondJob, 11);
     submission.set(http::field::host, "news.example");
     submission.body() = R"({"spec":"x","steps":[{"count":4,"cpu":8000,"mem_mb":100,"estimate_ms":2000,)"
-                        R"("fills":true,"image":"i"}]})";
+                        R"("fills":true,"image":"reconciler"}]})";
     tests::runToEnd(context, [](platform::caller_api *api, http::request request) -> task<void> {
         const http::reply reply = co_await api->handle(std::move(request));
         EXPECT_EQ(reply.message.result(), http::status::too_many_requests);
--- a/tests/unit/backlogged_service.h
+++ b/tests/unit/backlogged_service.h
@@ -48,8 +48,9 @@
     std::optional<std::string> offer(std::uint32_t tasks, std::int64_t millicores)
     {
         const jobs::queue_rules &queue = m_config.queues.at("checks");
-        const auto rejection = jobs::rejectionOf(makeBacklogJob("", tasks, millicores), queue, m_admission,
-                                                 jobs::expectedWait(m_waits, queue.service, queue.priority));
+        const auto rejection
+            = jobs::rejectionOf(makeBacklogJob("", tasks, millicores), queue, m_admission,
+                                jobs::expectedWait(m_waits, queue.service, queue.priority, "reconciler"));
         return rejection ? std::nullopt : std::optional(submit(tasks, millicores));
     }
 
@@ -85,7 +86,7 @@
                 const jobs::journal_record end
                     = ended(entry.second.task, entry.second.run, jobs::run_end::done);
                 jobs::apply(table, end);
-                jobs::recordDoneWork(m_meters, m_admission, table, m_config, std::span(&end, 1), now);
+                jobs::recordDoneWork(m_throughputs, m_admission, table, m_config, std::span(&end, 1), now);
             }
             return due;
         });
@@ -147,7 +148,7 @@
                     += jobs::bestEffortCapacity(info, load == table.loads.end() ? nullptr : &load->second);
             }
         }
-        m_waits = jobs::expectedWaits(loads, m_meters, m_admission, now);
+        m_waits = jobs::expectedWaits(loads, m_throughputs, m_admission, now);
     }
 
     void noteIdleJobs()
@@ -184,7 +185,7 @@
     jobs::fleet_config m_config = fleetConfig();
     jobs::idle_times m_idle;
     jobs::admission_rules m_admission;
-    jobs::work_meters m_meters;
+    jobs::service_throughputs m_throughputs;
     jobs::expected_waits m_waits;
     std::map<std::string, kernel::time_point> m_idleSince;
     std::vector<std::pair<kernel::time_point, jobs::journal_record>> m_ends;
