--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -116,7 +116,7 @@
         if (queue == config.queues.end())
             continue;
         for (const auto &[number, occurrence] : jobState.occurrences) {
-            if (latenessOf(jobState, number, queue->second, unixNow) == lateness::farTooLate)
+            if (latenessOf(jobState, number, queue->second, unixNow) != lateness::inTime)
                 continue;
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const step_spec &spec = jobState.spec.steps[step];
--- a/src/jobs/admission.h
+++ b/src/jobs/admission.h
@@ -86,9 +86,9 @@
 void recordDoneWork(service_throughputs &throughputs, const admission_rules &rules, const job_table &table,
                     const fleet_config &config, std::span<const journal_record> records, time_point now);
 
-//! Returns the work of the best-effort tasks that have not started, without CPU that is left to them. To be
-//! asked after a planning round: what the round has placed does not wait. Jobs that are far too late don't
-//! count, since they don't delay others.
+//! Returns the work of the best-effort tasks that have not started, of jobs that can still be in time: others
+//! go after a new job. The CPU that is left to best-effort tasks is not filled in. To be called after a
+//! planning round, since what the round has placed does not wait.
 service_loads waitingWork(const job_table &table, const fleet_config &config, time_point unixNow);
 
 //! Returns how long a best-effort task that becomes ready at \a now is expected to wait behind those of the
