Bound the backlog of late best-effort jobs

A longer overload ends with jobs that have nothing running (LOST). Change: a job is also rejected if all best-effort work that waits, late or not, takes longer than its objective. Late tasks that need a label or more than the largest worker has don't count, since they may never run. rejected_job_test ABacklogOfLateJobsIsBounded.

--- a/src/fleet/caller_service.cpp
+++ b/src/fleet/caller_service.cpp
@@ -61,12 +61,14 @@
     const std::shared_ptr<job_owner> owner = m_dependencies.local();
     if (!owner)
         return nullptr;
-    milliseconds longest{0};
-    for (const std::string &image : arguments.value("images", std::vector<std::string>{}))
-        longest = std::max(
-            longest,
-            owner->expectedWait(arguments.value("service", ""), arguments.value("priority", 0), image));
-    return longest.count();
+    jobs::wait_estimate longest;
+    for (const std::string &image : arguments.value("images", std::vector<std::string>{})) {
+        const jobs::wait_estimate found
+            = owner->expectedWait(arguments.value("service", ""), arguments.value("priority", 0), image);
+        longest.wait = std::max(longest.wait, found.wait);
+        longest.backlog = std::max(longest.backlog, found.backlog);
+    }
+    return {{"waitMs", longest.wait.count()}, {"backlogMs", longest.backlog.count()}};
 }
 
 task<std::optional<json>> caller_service::askOwner(std::string method, json arguments,
@@ -109,7 +111,7 @@
 
 //! Returns how long the best-effort tasks that \a arguments describe wait, as the owner knows it; nothing
 //! without its response.
-task<std::optional<milliseconds>> caller_service::expectedWait(json arguments)
+task<std::optional<jobs::wait_estimate>> caller_service::expectedWait(json arguments)
 {
     const time_point now = m_dependencies.clock();
     const milliseconds validity = m_dependencies.rules.waitValidity;
@@ -122,8 +124,11 @@
     const auto response = co_await askOwner(waitCall, std::move(arguments), m_dependencies.rules.waitTimeout);
     known_wait &known = m_waits[key];
     known.askedAt = m_dependencies.clock();
-    if (response && response->is_number_integer())
-        known.wait = milliseconds(response->get<std::int64_t>());
+    if (response && response->is_object()) {
+        const milliseconds wait(response->value("waitMs", std::int64_t{0}));
+        const milliseconds backlog(response->value("backlogMs", std::int64_t{0}));
+        known.wait = jobs::wait_estimate{wait, backlog};
+    }
     co_return known.wait;
 }
 
@@ -137,10 +142,10 @@
     arguments["service"] = queue.service;
     arguments["priority"] = queue.priority;
     arguments["images"] = jobs::bestEffortImages(candidate);
-    const std::optional<milliseconds> wait = co_await expectedWait(std::move(arguments));
-    if (!wait)
+    const std::optional<jobs::wait_estimate> expected = co_await expectedWait(std::move(arguments));
+    if (!expected)
         co_return std::nullopt;
-    const auto rejection = jobs::rejectionOf(candidate, queue, m_dependencies.rules.admission, *wait);
+    const auto rejection = jobs::rejectionOf(candidate, queue, m_dependencies.rules.admission, *expected);
     if (!rejection)
         co_return std::nullopt;
     // A job that an earlier request has handed in stays accepted.
--- a/src/fleet/caller_service.h
+++ b/src/fleet/caller_service.h
@@ -110,7 +110,7 @@
 private:
     kernel::task<call_outcome> createKey(std::string key, std::string value, milliseconds timeout);
     kernel::task<std::optional<json>> askOwner(std::string method, json arguments, milliseconds timeout);
-    kernel::task<std::optional<milliseconds>> expectedWait(json arguments);
+    kernel::task<std::optional<jobs::wait_estimate>> expectedWait(json arguments);
     kernel::task<std::optional<milliseconds>> rejectionOf(const jobs::job &candidate);
     json handleStatus(const json &arguments) const;
     json handlePending(const json &arguments) const;
@@ -119,7 +119,7 @@
     struct known_wait
     {
         time_point askedAt{};
-        std::optional<milliseconds> wait;
+        std::optional<jobs::wait_estimate> wait;
     };
 
     caller_service_dependencies m_dependencies;
--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -358,19 +358,18 @@
 void job_owner::updateExpectedWaits(time_point now)
 {
     m_expectedWaitsUpdatedAt = now;
-    jobs::service_loads loads = jobs::waitingWork(m_jobTable, *effectiveConfig(), m_dependencies.unixClock());
+    jobs::service_loads loads;
     for (const auto &[incarnation, worker] : m_workers.workers()) {
-        const auto load = loads.find(worker->session.info.service);
-        if (load == loads.end())
-            continue;
-        const auto assigned = m_jobTable.loads.find(incarnation);
-        load->second.bestEffortMillicores += jobs::bestEffortCapacity(
-            worker->session.info, assigned == m_jobTable.loads.end() ? nullptr : &assigned->second);
+        const auto load = m_jobTable.loads.find(incarnation);
+        jobs::addWorker(loads[worker->session.info.service], worker->session.info,
+                        load == m_jobTable.loads.end() ? nullptr : &load->second);
     }
+    jobs::addWaitingWork(loads, m_jobTable, *effectiveConfig(), m_dependencies.unixClock());
     m_expectedWaits = jobs::expectedWaits(loads, m_throughputs, m_dependencies.rules.admission, now);
 }
 
-milliseconds job_owner::expectedWait(std::string_view service, int priority, const std::string &image) const
+jobs::wait_estimate job_owner::expectedWait(std::string_view service, int priority,
+                                            const std::string &image) const
 {
     return jobs::expectedWait(m_expectedWaits, service, priority, image);
 }
@@ -402,8 +401,8 @@
     }
     json waits = json::object();
     for (const auto &[service, found] : m_expectedWaits) {
-        for (const auto &[priority, wait] : found.all)
-            waits[service][std::to_string(priority)] = wait.count();
+        for (const auto &[priority, expected] : found.all)
+            waits[service][std::to_string(priority)] = {expected.wait.count(), expected.backlog.count()};
     }
     return {{"usableWorkers", usable},   {"capacityMillicores", capacity}, {"freeMillicores", free},
             {"waitingLasting", lasting}, {"waitingToFill", fills},         {"waitingFirm", firm},
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -170,7 +170,7 @@
     std::size_t pendingJobCount(const std::string &queue) const;
     //! How long a best-effort task of \a image in a queue of \a service and \a priority that becomes ready
     //! now is expected to wait.
-    milliseconds expectedWait(std::string_view service, int priority, const std::string &image) const;
+    jobs::wait_estimate expectedWait(std::string_view service, int priority, const std::string &image) const;
     std::size_t workerCount() const { return m_workers.size(); }
     json dump() const;
     //! Free capacity of the usable workers, and the tasks that wait for it.
--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -1,6 +1,7 @@
 #include "jobs/admission.h"
 
 #include "jobs/lateness.h"
+#include "jobs/planner.h"
 
 #include <algorithm>
 #include <cmath>
@@ -46,17 +47,22 @@
     meter.updatedAt = now;
 }
 
-//! Returns how long it takes to do \a work at \a rate, in millicores.
-milliseconds timeFor(const waiting_work &work, const admission_rules &rules, double rate)
+milliseconds timeFor(declared_work work, double rate)
 {
     constexpr double longestMs = 3.6e6;
-    const declared_work counted = work.ready + std::min(work.later, work.ready * rules.laterWorkFactor);
-    return milliseconds(static_cast<std::int64_t>(std::min(counted / std::max(rate, 1.0), longestMs)));
+    return milliseconds(static_cast<std::int64_t>(std::min(work / std::max(rate, 1.0), longestMs)));
+}
+
+//! Returns what to expect where \a work is done at \a rate, in millicores.
+wait_estimate estimate(const waiting_work &work, const admission_rules &rules, double rate)
+{
+    const declared_work before = work.ready + std::min(work.later, work.ready * rules.laterWorkFactor);
+    return {timeFor(before, rate), timeFor(work.ready + work.later + work.late, rate)};
 }
 
 waiting_work operator+(const waiting_work &left, const waiting_work &right)
 {
-    return {left.ready + right.ready, left.later + right.later};
+    return {left.ready + right.ready, left.later + right.later, left.late + right.late};
 }
 
 service_waits waitsOf(const service_load &load, const service_throughput &throughput,
@@ -76,13 +82,13 @@
         ofImage = ofImage + work;
         const auto meter = throughput.byImage.find(image);
         const double rate = meter == throughput.byImage.end() ? 0.0 : rateOf(meter->second, rules, now);
-        waits.byImage[key] = timeFor(ofImage, rules, rate);
+        waits.byImage[key] = estimate(ofImage, rules, rate);
     }
     waiting_work ahead;
     const double rate = std::max(rateOf(throughput.all, rules, now), least);
     for (const auto &[priority, work] : byPriority) {
         ahead = ahead + work;
-        waits.all[priority] = timeFor(ahead, rules, rate);
+        waits.all[priority] = estimate(ahead, rules, rate);
     }
     return waits;
 }
@@ -107,29 +113,39 @@
     }
 }
 
-service_loads waitingWork(const job_table &table, const fleet_config &config, time_point unixNow)
+void addWorker(service_load &service, const worker_info &worker, const worker_load *load)
+{
+    service.bestEffortMillicores += bestEffortCapacity(worker, load);
+    resources &largest = service.largestWorker;
+    largest.millicores = std::max(largest.millicores, worker.capacity.millicores);
+    largest.memoryMb = std::max(largest.memoryMb, worker.capacity.memoryMb);
+    largest.accelerators = std::max(largest.accelerators, worker.capacity.accelerators);
+}
+
+void addWaitingWork(service_loads &loads, const job_table &table, const fleet_config &config,
+                    time_point unixNow)
 {
-    service_loads loads;
     for (const std::string &id : table.jobsWithWaitingTasks) {
         const job_state &jobState = table.jobs.find(id)->second;
         const auto queue = config.queues.find(jobState.spec.queue);
         if (queue == config.queues.end())
             continue;
+        service_load &load = loads[queue->second.service];
         for (const auto &[number, occurrence] : jobState.occurrences) {
-            if (latenessOf(jobState, number, queue->second, unixNow) != lateness::inTime)
-                continue;
+            const bool isLate = latenessOf(jobState, number, queue->second, unixNow) != lateness::inTime;
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const step_spec &spec = jobState.spec.steps[step];
                 const std::uint32_t waiting = occurrence.steps[step].waiting;
-                if (waiting == 0 || !isBestEffortBatch(spec))
+                const bool mayNeverRun
+                    = isLate && (!spec.requiredLabel.empty() || !fits(spec.demand, load.largestWorker));
+                if (waiting == 0 || !isBestEffortBatch(spec) || mayNeverRun)
                     continue;
-                waiting_work &work
-                    = loads[queue->second.service].waiting[{spec.image, queue->second.priority}];
-                (isReady(jobState, occurrence, step) ? work.ready : work.later) += workOf(spec) * waiting;
+                waiting_work &work = load.waiting[{spec.image, queue->second.priority}];
+                declared_work &part = isReady(jobState, occurrence, step) ? work.ready : work.later;
+                (isLate ? work.late : part) += workOf(spec) * waiting;
             }
         }
     }
-    return loads;
 }
 
 expected_waits expectedWaits(const service_loads &loads, const service_throughputs &throughputs,
@@ -144,19 +160,21 @@
     return waits;
 }
 
-milliseconds expectedWait(const expected_waits &waits, std::string_view service, int priority,
-                          const std::string &image)
+wait_estimate expectedWait(const expected_waits &waits, std::string_view service, int priority,
+                           const std::string &image)
 {
     const auto known = waits.find(service);
     if (known == waits.end())
-        return milliseconds(0);
+        return {};
     // Work of lower priorities does not count.
     const service_waits &found = known->second;
     const auto all = found.all.upper_bound(priority);
     const auto same = found.byImage.upper_bound({image, priority});
     if (all == found.all.begin() || same == found.byImage.begin() || std::prev(same)->first.first != image)
-        return milliseconds(0);
-    return std::min(std::prev(all)->second, std::prev(same)->second);
+        return {};
+    const wait_estimate &behindAll = std::prev(all)->second;
+    const wait_estimate &behindSame = std::prev(same)->second;
+    return {std::min(behindAll.wait, behindSame.wait), std::min(behindAll.backlog, behindSame.backlog)};
 }
 
 std::set<std::string> bestEffortImages(const job &candidate)
@@ -177,16 +195,17 @@
 }
 
 std::optional<milliseconds> rejectionOf(const job &candidate, const queue_rules &queue,
-                                        const admission_rules &rules, milliseconds wait)
+                                        const admission_rules &rules, wait_estimate expected)
 {
-    if (!dependsOnBestEffort(candidate))
-        return std::nullopt;
-    const milliseconds spare = completionObjective(candidate, queue) - criticalPath(candidate, nullptr);
     constexpr int whole = 100;
-    const milliseconds longest = std::max(spare * rules.waitPercent / whole, rules.acceptableWait);
-    if (wait <= longest)
+    if (!dependsOnBestEffort(candidate))
         return std::nullopt;
-    return wait - longest;
+    const milliseconds objective = completionObjective(candidate, queue);
+    const milliseconds spare = objective - criticalPath(candidate, nullptr);
+    const milliseconds longestWait = std::max(spare * rules.waitPercent / whole, rules.acceptableWait);
+    const milliseconds longestBacklog = std::max(objective, rules.acceptableWait);
+    const milliseconds excess = std::max(expected.wait - longestWait, expected.backlog - longestBacklog);
+    return excess > milliseconds(0) ? std::optional(excess) : std::nullopt;
 }
 
 } // namespace almond::jobs
--- a/src/jobs/admission.h
+++ b/src/jobs/admission.h
@@ -2,6 +2,7 @@
 
 #include "jobs/fleet_config.h"
 #include "jobs/job_table.h"
+#include "jobs/worker_info.h"
 
 #include <map>
 #include <optional>
@@ -47,10 +48,12 @@
 //! Declared work of best-effort tasks that have not started.
 struct waiting_work
 {
-    //! Of tasks that are ready to start.
+    //! Of tasks that are ready to start, in jobs that can still be in time.
     declared_work ready = 0.0;
     //! Of those that wait for earlier steps.
     declared_work later = 0.0;
+    //! Of late jobs, whose tasks go after those of a new job.
+    declared_work late = 0.0;
 };
 
 //! What determines how long a best-effort task of one service waits.
@@ -60,6 +63,8 @@
     std::map<std::pair<std::string, int>, waiting_work> waiting;
     //! CPU that is left to best-effort tasks.
     std::int64_t bestEffortMillicores = 0;
+    //! The most that any worker has of each resource.
+    resources largestWorker;
 };
 
 struct service_throughput
@@ -68,13 +73,22 @@
     std::map<std::string, work_meter, std::less<>> byImage;
 };
 
+//! What a new best-effort task has to expect.
+struct wait_estimate
+{
+    //! Until it starts.
+    milliseconds wait{0};
+    //! Until all tasks that wait now have been done, late ones included.
+    milliseconds backlog{0};
+};
+
 //! How long best-effort tasks of one service wait.
 struct service_waits
 {
-    std::map<int, milliseconds> all; // by priority of the queue
+    std::map<int, wait_estimate> all; // by priority of the queue
     //! Behind tasks of the same image alone: where tasks that disturb serving tasks find no worker, others
     //! may.
-    std::map<std::pair<std::string, int>, milliseconds> byImage;
+    std::map<std::pair<std::string, int>, wait_estimate> byImage;
 };
 
 //! By service.
@@ -86,10 +100,14 @@
 void recordDoneWork(service_throughputs &throughputs, const admission_rules &rules, const job_table &table,
                     const fleet_config &config, std::span<const journal_record> records, time_point now);
 
-//! Returns the work of the best-effort tasks that have not started, of jobs that can still be in time: others
-//! go after a new job. The CPU that is left to best-effort tasks is not filled in. To be called after a
-//! planning round, since what the round has placed does not wait.
-service_loads waitingWork(const job_table &table, const fleet_config &config, time_point unixNow);
+//! Adds \a worker to \a service without the resources in \a load; \a load is null for an idle worker.
+void addWorker(service_load &service, const worker_info &worker, const worker_load *load);
+
+//! Adds the work of the best-effort tasks that have not started to \a loads, which describe the workers. To
+//! be called after a planning round, since what the round has placed does not wait. Late tasks that need a
+//! label or more than the largest worker has don't count: they may never run.
+void addWaitingWork(service_loads &loads, const job_table &table, const fleet_config &config,
+                    time_point unixNow);
 
 //! Returns how long a best-effort task that becomes ready at \a now is expected to wait behind those of the
 //! same and of higher priorities, for each service and priority in \a loads.
@@ -98,8 +116,8 @@
 
 //! Returns the wait of best-effort tasks of \a image and \a priority on \a service: behind all others or
 //! behind those of the same image, whichever is shorter.
-milliseconds expectedWait(const expected_waits &waits, std::string_view service, int priority,
-                          const std::string &image);
+wait_estimate expectedWait(const expected_waits &waits, std::string_view service, int priority,
+                           const std::string &image);
 
 //! Returns the images of the best-effort tasks of \a candidate.
 std::set<std::string> bestEffortImages(const job &candidate);
@@ -108,8 +126,8 @@
 bool dependsOnBestEffort(const job &candidate);
 
 //! Returns after which time \a candidate may be handed in again if it can't complete within the objective of
-//! \a queue after \a wait; nothing if it can.
+//! \a queue, or if what waits already takes longer than that; nothing if it is to be accepted.
 std::optional<milliseconds> rejectionOf(const job &candidate, const queue_rules &queue,
-                                        const admission_rules &rules, milliseconds wait);
+                                        const admission_rules &rules, wait_estimate expected);
 
 } // namespace almond::jobs
--- a/tests/platform/rejected_job_test.cpp
+++ b/tests/platform/rejected_job_test.cpp
@@ -62,8 +62,9 @@
     void fillService()
     {
         EXPECT_EQ(submit(bestEffortJob(firstJob, 200)).outcome, call_outcome::ok);
-        EXPECT_TRUE(runUntil(
-            [this] { return owner->expectedWait("moderator", 0, "reconciler") > milliseconds(10'000); }));
+        EXPECT_TRUE(runUntil([this] {
+            return owner->expectedWait("moderator", 0, "reconciler").wait > milliseconds(10'000);
+        }));
     }
 };
 
@@ -101,8 +102,8 @@
     patient.queue = "reviews";
     EXPECT_EQ(submit(patient).outcome, call_outcome::ok);
     EXPECT_TRUE(runUntil(
-        [this] { return owner->expectedWait("moderator", 2, "reconciler") > milliseconds(10'000); }));
-    EXPECT_EQ(owner->expectedWait("moderator", 0, "reconciler"), milliseconds(0));
+        [this] { return owner->expectedWait("moderator", 2, "reconciler").wait > milliseconds(10'000); }));
+    EXPECT_EQ(owner->expectedWait("moderator", 0, "reconciler").wait, milliseconds(0));
     EXPECT_EQ(submit(bestEffortJob(secondJob, 4)).outcome, call_outcome::ok);
 }
 
@@ -115,6 +116,31 @@
     EXPECT_EQ(submit(harmless).outcome, call_outcome::ok);
 }
 
+//! Guards against a backlog of late jobs that grows for as long as an overload lasts (LOST): none of them
+//! delays a new job, so nothing was rejected for them.
+TEST_F(rejected_job_test, ABacklogOfLateJobsIsBounded)
+{
+    jobs::job late = bestEffortJob(firstJob, 200);
+    late.acceptedAtMs = kernel::toMillis(kernel::systemNow()) - 60'000;
+    accept(late);
+    EXPECT_TRUE(runUntil(
+        [this] { return owner->expectedWait("moderator", 0, "reconciler").backlog > milliseconds(10'000); }));
+    EXPECT_EQ(owner->expectedWait("moderator", 0, "reconciler").wait, milliseconds(0));
+    EXPECT_EQ(submit(bestEffortJob(secondJob, 4)).outcome, call_outcome::overloaded);
+}
+
+//! Guards against a queue that is closed for good by jobs which no worker can run.
+TEST_F(rejected_job_test, LateJobsThatCanNeverRunAreNoReasonToReject)
+{
+    jobs::job unplaceable = bestEffortJob(firstJob, 200);
+    unplaceable.steps.front().demand.millicores = 1'000'000;
+    unplaceable.acceptedAtMs = kernel::toMillis(kernel::systemNow()) - 60'000;
+    accept(unplaceable);
+    EXPECT_TRUE(runUntil([this] { return owner->statusOf(firstJob).has_value(); }));
+    runFor(milliseconds(600));
+    EXPECT_EQ(submit(bestEffortJob(secondJob, 4)).outcome, call_outcome::ok);
+}
+
 //! Without the owner's response a job is accepted, as before.
 TEST_F(rejected_job_test, WithoutTheOwnerJobsAreAccepted)
 {
--- a/tests/unit/backlogged_service.h
+++ b/tests/unit/backlogged_service.h
@@ -140,14 +140,12 @@
     //! Does what the owner does after a planning round.
     void updateWaits()
     {
-        jobs::service_loads loads = jobs::waitingWork(table, m_config, now);
-        for (auto &[service, serviceLoad] : loads) {
-            for (const jobs::worker_info &info : m_workers) {
-                const auto load = table.loads.find(jobs::incarnationOf(info));
-                serviceLoad.bestEffortMillicores
-                    += jobs::bestEffortCapacity(info, load == table.loads.end() ? nullptr : &load->second);
-            }
+        jobs::service_loads loads;
+        for (const jobs::worker_info &info : m_workers) {
+            const auto load = table.loads.find(jobs::incarnationOf(info));
+            jobs::addWorker(loads[info.service], info, load == table.loads.end() ? nullptr : &load->second);
         }
+        jobs::addWaitingWork(loads, table, m_config, now);
         m_waits = jobs::expectedWaits(loads, m_throughputs, m_admission, now);
     }
 
