--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+//! No job is accepted while what waits takes longer than this multiple of its objective.
+constexpr int backlogObjectives = 2;
+
 declared_work workOf(const step_spec &spec)
 {
     return static_cast<double>(spec.demand.millicores) * static_cast<double>(spec.declaredDuration.count());
@@ -203,7 +206,7 @@
     const milliseconds objective = completionObjective(candidate, queue);
     const milliseconds spare = objective - criticalPath(candidate, nullptr);
     const milliseconds longestWait = std::max(spare * rules.waitPercent / whole, rules.acceptableWait);
-    const milliseconds longestBacklog = std::max(objective, rules.acceptableWait);
+    const milliseconds longestBacklog = std::max(objective * backlogObjectives, rules.acceptableWait);
     const milliseconds excess = std::max(expected.wait - longestWait, expected.backlog - longestBacklog);
     return excess > milliseconds(0) ? std::optional(excess) : std::nullopt;
 }
--- a/src/jobs/admission.h
+++ b/src/jobs/admission.h
@@ -126,7 +126,7 @@
 bool dependsOnBestEffort(const job &candidate);
 
 //! Returns after which time \a candidate may be handed in again if it can't complete within the objective of
-//! \a queue, or if what waits already takes longer than that; nothing if it is to be accepted.
+//! \a queue, or if what waits already takes a multiple of that; nothing if it is to be accepted.
 std::optional<milliseconds> rejectionOf(const job &candidate, const queue_rules &queue,
                                         const admission_rules &rules, wait_estimate expected);
 
