--- a/tests/platform/rejected_job_test.cpp
+++ b/tests/platform/rejected_job_test.cpp
@@ -21,6 +21,14 @@
     bool isOwnerKnown = true;
     fleet::caller_service service{dependencies()};
 
+    rejected_job_test()
+    {
+        jobs::fleet_config changed = *config;
+        for (auto &[name, queue] : changed.queues)
+            queue.stretch = 5.0;
+        config = std::make_shared<const jobs::fleet_config>(std::move(changed));
+    }
+
     fleet::caller_service_dependencies dependencies()
     {
         fleet::caller_service_dependencies made;
