Forget the throughput of images that are no longer used

Callers choose the names of images, so the owner's memory would grow with each new one. Found while reading the change. accepted_backlog_test ImagesThatAreNoLongerUsedAreForgotten; without forgetIdleImages() nothing is removed.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -358,6 +358,7 @@
 void job_owner::updateExpectedWaits(time_point now)
 {
     m_expectedWaitsUpdatedAt = now;
+    jobs::forgetIdleImages(m_throughputs, m_dependencies.rules.admission, now);
     jobs::service_loads loads;
     for (const auto &[incarnation, worker] : m_workers.workers()) {
         const auto load = m_jobTable.loads.find(incarnation);
--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -116,6 +116,17 @@
     }
 }
 
+void forgetIdleImages(service_throughputs &throughputs, const admission_rules &rules, time_point now)
+{
+    // By then the average has fallen below a thousandth.
+    constexpr int windowsKept = 7;
+    for (auto &[service, throughput] : throughputs) {
+        std::erase_if(throughput.byImage, [&](const auto &entry) {
+            return now - entry.second.updatedAt > rules.throughputWindow * windowsKept;
+        });
+    }
+}
+
 void addWorker(service_load &service, const worker_info &worker, const worker_load *load)
 {
     service.bestEffortMillicores += bestEffortCapacity(worker, load);
--- a/src/jobs/admission.h
+++ b/src/jobs/admission.h
@@ -100,6 +100,9 @@
 void recordDoneWork(service_throughputs &throughputs, const admission_rules &rules, const job_table &table,
                     const fleet_config &config, std::span<const journal_record> records, time_point now);
 
+//! Removes the throughput of images of which no task was done lately, since callers choose their names.
+void forgetIdleImages(service_throughputs &throughputs, const admission_rules &rules, time_point now);
+
 //! Adds \a worker to \a service without the resources in \a load; \a load is null for an idle worker.
 void addWorker(service_load &service, const worker_info &worker, const worker_load *load);
 
--- a/tests/unit/accepted_backlog_test.cpp
+++ b/tests/unit/accepted_backlog_test.cpp
@@ -83,4 +83,16 @@
     EXPECT_EQ(service.openJobs(), 0U);
 }
 
+//! Guards against memory that grows with each name of an image that a caller makes up.
+TEST(AcceptedBacklog, ImagesThatAreNoLongerUsedAreForgotten)
+{
+    const jobs::admission_rules rules;
+    jobs::service_throughputs throughputs;
+    throughputs["moderator"].byImage["old"].updatedAt = tests::at(1000);
+    throughputs["moderator"].byImage["new"].updatedAt = tests::at(60'000);
+    jobs::forgetIdleImages(throughputs, rules, tests::at(61'000));
+    EXPECT_FALSE(throughputs["moderator"].byImage.contains("old"));
+    EXPECT_TRUE(throughputs["moderator"].byImage.contains("new"));
+}
+
 } // namespace
