--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -1,10 +1,10 @@
 #include "jobs/admission.h"
 
+#include "jobs/decay.h"
 #include "jobs/lateness.h"
 #include "jobs/planner.h"
 
 #include <algorithm>
-#include <cmath>
 #include <iterator>
 
 namespace almond::jobs {
@@ -19,12 +19,6 @@
     return static_cast<double>(spec.demand.millicores) * static_cast<double>(spec.declaredDuration.count());
 }
 
-double decayFactor(time_point since, time_point now, milliseconds timeConstant)
-{
-    const milliseconds passed = std::max(milliseconds(now - since), milliseconds(0));
-    return std::exp(-static_cast<double>(passed.count()) / static_cast<double>(timeConstant.count()));
-}
-
 bool isBestEffortBatch(const step_spec &spec)
 {
     return spec.bestEffort && !spec.longRunning;
--- a/src/jobs/interference_model.cpp
+++ b/src/jobs/interference_model.cpp
@@ -1,5 +1,7 @@
 #include "jobs/interference_model.h"
 
+#include "jobs/decay.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,17 +15,6 @@
 //! Minimum weight of the averages of a job before further samples are compared with them.
 constexpr double minContrastWeight = 2.0;
 
-double secondsOf(milliseconds span)
-{
-    constexpr double perSecond = 1000.0;
-    return static_cast<double>(span.count()) / perSecond;
-}
-
-double decayFactor(time_point since, time_point now, milliseconds timeConstant)
-{
-    return std::exp(-secondsOf(std::max(now - since, milliseconds(0))) / secondsOf(timeConstant));
-}
-
 //! Solves the linear system in \a rows, each with its right-hand side as last element, by Gauss-Jordan
 //! elimination with partial pivoting.
 std::vector<double> solve(std::vector<std::vector<double>> rows)
