--- a/tests/unit/backlogged_service.h
+++ b/tests/unit/backlogged_service.h
@@ -33,26 +33,25 @@
     }
 
     //! Adds a job of two steps of best-effort tasks, accepted now. Returns its id.
-    std::string submit(std::uint32_t tasks, std::int64_t millicores)
+    std::string submit(std::uint32_t tasks, std::int64_t millicores, bool gang = false)
     {
         std::string id = std::to_string(m_submitted++);
         id.insert(0, 16 - id.size(), '0');
-        jobs::addJob(table, makeBacklogJob(id, tasks, millicores));
+        jobs::job job = makeBacklogJob(id, tasks, millicores);
+        for (jobs::step_spec &step : job.steps)
+            step.gang = gang;
+        jobs::addJob(table, job);
         return id;
     }
 
     //! Hands in a job as a caller does. Returns its id, or nothing if it is rejected.
     std::optional<std::string> offer(std::uint32_t tasks, std::int64_t millicores)
     {
-        jobs::service_loads loads = jobs::waitingWork(table, m_config, now);
-        for (auto &[service, load] : loads)
-            load.unreservedMillicores = unreservedMillicores();
-        const jobs::expected_waits waits = jobs::expectedWaits(loads, m_meters, m_admission, now);
         const jobs::queue_rules &queue = m_config.queues.at("checks");
-        const auto wait = waits.find(queue.service);
-        const bool rejected = wait != waits.end()
-            && jobs::rejectionOf(makeBacklogJob("", tasks, millicores), queue, m_admission, wait->second);
-        return rejected ? std::nullopt : std::optional(submit(tasks, millicores));
+        const auto rejection
+            = jobs::rejectionOf(makeBacklogJob("", tasks, millicores), queue, m_admission,
+                                jobs::expectedWait(m_waits, queue.service, queue.priority, "reconciler"));
+        return rejection ? std::nullopt : std::optional(submit(tasks, millicores));
     }
 
     //! Time from the acceptance of each job that has completed to its completion.
@@ -87,7 +86,7 @@
                 const jobs::journal_record end
                     = ended(entry.second.task, entry.second.run, jobs::run_end::done);
                 jobs::apply(table, end);
-                jobs::recordDoneWork(m_meters, m_admission, table, m_config, std::span(&end, 1), now);
+                jobs::recordDoneWork(m_throughputs, m_admission, table, m_config, std::span(&end, 1), now);
             }
             return due;
         });
@@ -99,6 +98,7 @@
             jobs::apply(table, record);
             m_ends.emplace_back(now + taskDuration, record);
         }
+        updateWaits();
         noteIdleJobs();
     }
 
@@ -137,15 +137,18 @@
         return job;
     }
 
-    std::int64_t unreservedMillicores() const
+    //! Does what the owner does after a planning round.
+    void updateWaits()
     {
-        std::int64_t total = 0;
-        for (const jobs::worker_info &info : m_workers) {
-            const auto load = table.loads.find(jobs::incarnationOf(info));
-            total += info.capacity.millicores
-                - (load == table.loads.end() ? 0 : load->second.guaranteed.millicores);
+        jobs::service_loads loads = jobs::waitingWork(table, m_config, now);
+        for (auto &[service, serviceLoad] : loads) {
+            for (const jobs::worker_info &info : m_workers) {
+                const auto load = table.loads.find(jobs::incarnationOf(info));
+                serviceLoad.bestEffortMillicores
+                    += jobs::bestEffortCapacity(info, load == table.loads.end() ? nullptr : &load->second);
+            }
         }
-        return total;
+        m_waits = jobs::expectedWaits(loads, m_throughputs, m_admission, now);
     }
 
     void noteIdleJobs()
@@ -182,7 +185,8 @@
     jobs::fleet_config m_config = fleetConfig();
     jobs::idle_times m_idle;
     jobs::admission_rules m_admission;
-    jobs::work_meters m_meters;
+    jobs::service_throughputs m_throughputs;
+    jobs::expected_waits m_waits;
     std::map<std::string, kernel::time_point> m_idleSince;
     std::vector<std::pair<kernel::time_point, jobs::journal_record>> m_ends;
     std::map<std::string, kernel::time_point> m_completedAt;
