Start orders and lease renewals reach only the incarnation that they are meant for

A worker that is back under its old id takes calls that were meant for its earlier incarnation. The header with the worker's id can't tell them apart.

Cause: the client chose a connection by address. A connection stays with one process, though, and each list of runs names the birth of its process. Now an order names the incarnation that it is meant for. Before a connection carries start orders, renewals or acknowledgements, a poll that changes nothing asks which incarnation is at the other end; an order for another one is not sent. A start then returns 'restarted', a poll the list of the present incarnation. Relays pass the birth on and check it in the same way.

--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -54,7 +54,7 @@
 
 jobs::order_target job_owner::orderTarget(const managed_worker &worker) const
 {
-    return {worker.session.info.id, worker.session.info.address, m_term.term};
+    return {worker.session.info.id, worker.session.info.address, m_term.term, worker.session.info.bornMs};
 }
 
 bool job_owner::needsPoll(const managed_worker &worker, time_point now) const
@@ -372,7 +372,10 @@
         resign("a worker has seen a later term");
         return true;
     }
-    worker.refusedAt = now;
+    if (response.refusal == order_refusal::restarted)
+        worker.signal.wake();
+    else
+        worker.refusedAt = now;
     // The refusal concerns this order only; an earlier one without a response may have been executed.
     if (attempt.mayHaveArrived && !worker.session.dead)
         return false;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -139,9 +139,17 @@
     co_return false;
 }
 
-connection_pool::connection_ptr connection_pool::takeIdle(const std::string &peer)
+connection_pool::connection_ptr connection_pool::takeIdle(const std::string &peer, const process_check *check)
 {
     auto &idle = m_idle[peer];
+    if (check && !check->expected.empty()) {
+        std::erase_if(idle, [check](const connection_ptr &conn) {
+            return !conn->identity.empty() && conn->identity != check->expected;
+        });
+        // The last one is taken first.
+        std::stable_partition(idle.begin(), idle.end(),
+                              [](const connection_ptr &conn) { return conn->identity.empty(); });
+    }
     while (!idle.empty()) {
         connection_ptr candidate = std::move(idle.back());
         idle.pop_back();
@@ -215,7 +223,7 @@
 
 task<exchange_result> connection_pool::exchange(std::string peer, request message,
                                                 kernel::milliseconds timeout, kernel::time_point sendBefore,
-                                                exchange_priority priority)
+                                                exchange_priority priority, const process_check *check)
 {
     const auto deadline = std::chrono::steady_clock::now() + timeout;
     exchange_result result;
@@ -238,7 +246,7 @@
     }
     std::exception_ptr failure;
     try {
-        result = co_await exchangeNow(peer, usage, std::move(message), deadline, sendBefore);
+        result = co_await exchangeNow(peer, usage, std::move(message), deadline, sendBefore, check);
     } catch (...) {
         failure = std::current_exception();
     }
@@ -249,16 +257,47 @@
     co_return result;
 }
 
+task<exchange_result> connection_pool::identify(connection &conn, const process_check &check,
+                                                steady_time deadline)
+{
+    request question = check.makeQuestion();
+    question.prepare_payload();
+    exchange_result result = co_await runExchange(conn, question, deadline);
+    if (result.status != exchange_status::answered) {
+        result.status = exchange_status::notSent;
+        result.detail = "identify: " + result.detail;
+        co_return result;
+    }
+    conn.identity = check.identityOf(result.answer);
+    if (conn.identity != check.expected) {
+        result.status = exchange_status::otherProcess;
+        result.detail = "identify: another process than the expected one";
+    } else if (!result.answer.keep_alive() || conn.buffer.size() > 0) {
+        result.status = exchange_status::notSent;
+        result.detail = "identify: the connection carries no further request";
+    }
+    co_return result;
+}
+
 task<exchange_result> connection_pool::exchangeNow(const std::string &peer, usage_ptr usage, request message,
-                                                   steady_time deadline, kernel::time_point sendBefore)
+                                                   steady_time deadline, kernel::time_point sendBefore,
+                                                   const process_check *check)
 {
     exchange_result result;
-    connection_ptr conn = takeIdle(peer);
+    connection_ptr conn = takeIdle(peer, check);
     const bool reused = conn != nullptr;
     if (!conn)
         conn = co_await connect(peer, usage, deadline, result.detail);
     if (!conn)
         co_return result;
+    const bool isBound = check && !check->expected.empty();
+    if (isBound && conn->identity.empty()) {
+        result = co_await identify(*conn, *check, deadline);
+        if (result.status != exchange_status::answered) {
+            noteRefusal(*usage, result, reused);
+            co_return result;
+        }
+    }
     // Waiting and connecting may take longer than the caller's permission lasts.
     if (kernel::monotonicNow() >= sendBefore) {
         result.status = exchange_status::expired;
@@ -268,17 +307,25 @@
     }
     message.prepare_payload();
     result = co_await runExchange(*conn, message, deadline);
-    result.reusedConnection = reused;
-    result.connectionRefused = result.connectionRefused && !reused;
-    if (result.connectionRefused) {
-        ++m_counters->refused;
-        usage->refusedUntil = std::chrono::steady_clock::now() + m_limits.refusalBackoff;
-    }
-    if (result.status == exchange_status::answered && result.answer.keep_alive() && conn->buffer.size() == 0)
+    noteRefusal(*usage, result, reused);
+    const bool isAnswered = result.status == exchange_status::answered;
+    if (isAnswered && check && !isBound)
+        conn->identity = check->identityOf(result.answer);
+    if (isAnswered && result.answer.keep_alive() && conn->buffer.size() == 0)
         keep(peer, std::move(conn));
     co_return result;
 }
 
+void connection_pool::noteRefusal(peer_usage &usage, exchange_result &result, bool reusedConnection)
+{
+    result.reusedConnection = reusedConnection;
+    result.connectionRefused = result.connectionRefused && !reusedConnection;
+    if (!result.connectionRefused)
+        return;
+    ++m_counters->refused;
+    usage.refusedUntil = std::chrono::steady_clock::now() + m_limits.refusalBackoff;
+}
+
 void connection_pool::keep(const std::string &peer, connection_ptr conn)
 {
     auto &idle = m_idle[peer];
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -11,6 +11,7 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -30,13 +31,29 @@
     timedOut,
     //! The time until which the request might be sent had passed, or there was no free connection in time: no
     //! byte of it was sent, which tells nothing of the peer.
-    expired
+    expired,
+    //! Another process than the expected one is at the other end: no byte of the request was sent.
+    otherProcess
+};
+
+//! Makes sure that a request is received only by the process that it is meant for. A peer that restarts at
+//! its address is another process, while a connection stays with one.
+struct process_check
+{
+    //! Makes the request that is sent first on a connection whose process is not known yet.
+    std::function<request()> makeQuestion;
+    //! Returns the identity of the process that gave \a answer; empty if the answer doesn't tell.
+    std::function<std::string(const response &answer)> identityOf;
+    //! Identity of the process that may receive the request. Empty for any process; its identity is then
+    //! taken from the answer to the request itself, without a question.
+    std::string expected;
 };
 
 //! Result of one exchange with a peer.
 struct exchange_result
 {
     exchange_status status = exchange_status::notSent;
+    //! With exchange_status::otherProcess the answer to the question.
     response answer;
     //! What failed; empty after an answered exchange.
     std::string detail;
@@ -88,10 +105,12 @@
 
     //! Sends \a message to \a peer (IP:PORT) and awaits the complete response for at most \a timeout, which
     //! includes the time to wait for a connection and to connect. Sends it only before \a sendBefore on the
-    //! clock of kernel::monotonicNow().
+    //! clock of kernel::monotonicNow(), and only to the process that \a check permits; null for any. \a check
+    //! must outlive the call.
     kernel::task<exchange_result> exchange(std::string peer, request message, kernel::milliseconds timeout,
                                            kernel::time_point sendBefore = kernel::time_point::max(),
-                                           exchange_priority priority = exchange_priority::normal);
+                                           exchange_priority priority = exchange_priority::normal,
+                                           const process_check *check = nullptr);
 
     //! Changes pool_limits::openPerPeer. Connections that are open stay open.
     void setOpenPerPeer(std::size_t limit);
@@ -136,6 +155,8 @@
         boost::beast::tcp_stream tcpStream;
         boost::beast::flat_buffer buffer;
         steady_time idleSince;
+        //! What process_check::identityOf has returned; empty if it is not known yet.
+        std::string identity;
         std::shared_ptr<pool_counters> counters;
         usage_ptr usage;
     };
@@ -148,12 +169,19 @@
     //! Awaits the permission to use a connection. Returns false after \a deadline.
     kernel::task<bool> awaitConnection(usage_ptr usage, exchange_priority priority, steady_time deadline);
     kernel::task<exchange_result> exchangeNow(const std::string &peer, usage_ptr usage, request message,
-                                              steady_time deadline, kernel::time_point sendBefore);
-    connection_ptr takeIdle(const std::string &peer);
+                                              steady_time deadline, kernel::time_point sendBefore,
+                                              const process_check *check);
+    //! Finds out which process is at the other end of \a conn. The result is answered if it is the expected
+    //! one.
+    kernel::task<exchange_result> identify(connection &conn, const process_check &check,
+                                           steady_time deadline);
+    connection_ptr takeIdle(const std::string &peer, const process_check *check);
     kernel::task<connection_ptr> connect(const std::string &peer, usage_ptr usage, steady_time deadline,
                                          std::string &detail);
     kernel::task<exchange_result> runExchange(connection &conn, const request &message, steady_time deadline);
     void keep(const std::string &peer, connection_ptr conn);
+    //! Records in \a result how its connection was made, and backs off if the peer has refused it.
+    void noteRefusal(peer_usage &usage, exchange_result &result, bool reusedConnection);
 
     boost::asio::io_context &m_context;
     pool_limits m_limits;
--- a/src/jobs/worker_api.h
+++ b/src/jobs/worker_api.h
@@ -43,7 +43,9 @@
     ticket,
     //! The worker closed the new connection without a response, as one that has too many does. Whether it has
     //! read the order is unknown.
-    connection
+    connection,
+    //! The worker has restarted; the order was not sent to its present incarnation.
+    restarted
 };
 
 struct order_response
@@ -62,6 +64,9 @@
     std::string address;
     //! Term of the owner that sends the order. A worker accepts only the highest term that it has seen.
     std::uint64_t term = 0;
+    //! Birth of the incarnation that the order is meant for, in milliseconds since the epoch; 0 for any.
+    //! Start orders, and polls that renew a lease or acknowledge ends, reach no other incarnation.
+    std::int64_t bornMs = 0;
 };
 
 struct start_order
@@ -118,7 +123,8 @@
     bool moreEnded = false;
 };
 
-//! The calls to workers, independent of the transport.
+//! The calls to workers, independent of the transport. A poll that is meant for an earlier incarnation
+//! returns the list of the present one, renews no lease and acknowledges nothing.
 struct worker_api
 {
     std::function<kernel::task<order_response>(order_target, start_order)> start;
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -155,6 +155,12 @@
     // An overloaded worker that turns orders away doesn't show that it still renews leases.
     if (response.refusal == order_refusal::unhealthy)
         return;
+    // Without a clock the worker is polled, and gets no new tasks before its list has shown the incarnation.
+    if (response.refusal == order_refusal::restarted) {
+        session.confirmed = false;
+        session.clock.reset();
+        return;
+    }
     session.lastResponseAt = now;
     session.unansweredSince = time_point{};
     if (!response.workerClockMs)
--- a/src/relay/order_codec.cpp
+++ b/src/relay/order_codec.cpp
@@ -131,14 +131,16 @@
 json encodeOrder(const relayed_order &order)
 {
     return json::array({order.number, order.order.index(), order.target.workerId, order.target.address,
-                        order.target.term, encodeDetails(order)});
+                        order.target.term, encodeDetails(order), order.target.bornMs});
 }
 
 relayed_order decodeOrder(const json &in)
 {
     relayed_order order;
     order.number = codec::integerOf<std::uint64_t>(in.at(0));
-    order.target = {in.at(2), in.at(3), codec::integerOf<std::uint64_t>(in.at(4))};
+    order.target = {in.at(2), in.at(3), codec::integerOf<std::uint64_t>(in.at(4)), 0};
+    if (in.size() > 6)
+        order.target.bornMs = codec::integerOf<std::int64_t>(in.at(6));
     const json &details = in.at(5);
     switch (decodeEnum(in.at(1), order_kind::throttle)) {
     case order_kind::start:
@@ -185,7 +187,7 @@
     relayed.number = codec::integerOf<std::uint64_t>(in.at(0));
     jobs::poll_response &response = relayed.response;
     response.result.outcome = decodeEnum(in.at(1), jobs::order_outcome::expired);
-    response.result.refusal = decodeEnum(in.at(2), jobs::order_refusal::connection);
+    response.result.refusal = decodeEnum(in.at(2), jobs::order_refusal::restarted);
     if (!in.at(3).is_null())
         response.result.workerClockMs = codec::integerOf<std::int64_t>(in.at(3));
     response.result.detail = in.at(4);
