A cancellation is repeated while the owner of a cell is changing

Cause, by reading: a submission is repeated while the owner of its cell is changing, a cancellation was not, although it may be repeated as safely.

--- a/src/placement/job_service.cpp
+++ b/src/placement/job_service.cpp
@@ -14,8 +14,9 @@
 
 constexpr kernel::milliseconds commitTimeout{4000};
 constexpr kernel::milliseconds callTimeout{5000};
-constexpr kernel::milliseconds admitRetryDelay{300};
-constexpr int admitAttempts = 12;
+//! The owner of a cell may be changing.
+constexpr kernel::milliseconds ownerRetryDelay{300};
+constexpr int ownerAttempts = 12;
 constexpr settings::integer_range resourceRange{0, 100'000'000};
 constexpr settings::integer_range runTimeRange{0, 365LL * 24 * 3600 * 1000};
 constexpr std::size_t maximumIdLength = 200;
@@ -158,10 +159,10 @@
     arguments["cell"] = cell;
     arguments["records"] = encodeRecords(records);
     bool committed = false;
-    // The owner of the cell may be changing. Repeating the call is safe, since a job is admitted only once.
-    for (int attempt = 0; attempt < admitAttempts && !committed; ++attempt) {
+    // Repeating the call is safe, since a job is admitted only once.
+    for (int attempt = 0; attempt < ownerAttempts && !committed; ++attempt) {
         if (attempt > 0)
-            co_await kernel::sleepFor(admitRetryDelay);
+            co_await kernel::sleepFor(ownerRetryDelay);
         const json response = co_await callOwner(cell, "cell.adopt", arguments);
         committed = response.value("committed", false);
     }
@@ -192,7 +193,11 @@
         json request;
         request["cell"] = cell;
         request["ids"] = ids;
-        const json response = co_await callOwner(cell, "cell.cancel", std::move(request));
+        json response = co_await callOwner(cell, "cell.cancel", request);
+        for (int attempt = 1; attempt < ownerAttempts && !response.contains("results"); ++attempt) {
+            co_await kernel::sleepFor(ownerRetryDelay);
+            response = co_await callOwner(cell, "cell.cancel", request);
+        }
         unreachable += response.contains("results") ? 0 : 1;
         const json found = response.value("results", json::object());
         for (const auto &[id, status] : found.items())
