Log who holds guaranteed CPU and when a job first starts

The owner's state named the free CPU and who waits, but not how much serving tasks hold, nor whether what is free is fragments. The times of a job's steps begin with its first start, so that the wait for that start was in no field: waitMs of a first step is 0 by construction.

"owner state" has lastingMillicores, largestFirmMillicores (the largest guaranteed demand of ready batch tasks) and firmPlaces (how many more tasks of that size fit). "job ended" has firstStartMs, from acceptance or due time to the first start; null if this owner started nothing.

--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -1,6 +1,7 @@
 #include "fleet/job_owner.h"
 
 #include "jobs/job_codec.h"
+#include "jobs/lateness.h"
 #include "observe/log.h"
 
 #include <algorithm>
@@ -158,14 +159,21 @@
         if (job == m_jobTable.jobs.end() || !jobs::isFinal(job->second.status))
             continue;
         const jobs::job &spec = job->second.spec;
-        for (const auto &[occurrence, times] : jobs::takeEndedTimings(m_timings, m_jobTable, id))
+        const time_point unixNow = m_dependencies.unixClock();
+        for (const auto &[occurrence, times] : jobs::takeEndedTimings(m_timings, m_jobTable, id)) {
+            const milliseconds age = unixNow - jobs::occurrenceBegin(spec, occurrence);
+            json firstStartMs = nullptr;
+            if (const auto running = jobs::sinceFirstStart(times, now))
+                firstStartMs = (age - *running).count();
             observe::log(log_level::info, "job ended",
                          {{"job", id},
                           {"occurrence", occurrence},
                           {"queue", spec.queue},
                           {"status", jobs::statusName(job->second.status)},
-                          {"tookMs", kernel::toMillis(m_dependencies.unixClock()) - spec.acceptedAtMs},
+                          {"tookMs", kernel::toMillis(unixNow) - spec.acceptedAtMs},
+                          {"firstStartMs", std::move(firstStartMs)},
                           {"steps", jobs::describeTiming(times, spec)}});
+        }
     }
 }
 
@@ -378,17 +386,10 @@
 json job_owner::describeCapacity() const
 {
     const time_point now = m_dependencies.clock();
-    std::int64_t capacity = 0;
-    std::int64_t free = 0;
-    std::size_t usable = 0;
-    for (const jobs::candidate &worker : candidateWorkers(now)) {
-        ++usable;
-        capacity += worker.info.capacity.millicores;
-        free += worker.available.millicores;
-    }
     std::uint32_t lasting = 0;
     std::uint32_t fills = 0;
     std::uint32_t firm = 0;
+    jobs::resources largestFirm;
     for (const std::string &id : m_jobTable.jobsWithWaitingTasks) {
         const jobs::job_state &job = m_jobTable.jobs.find(id)->second;
         for (const auto &[number, occurrence] : job.occurrences) {
@@ -397,17 +398,36 @@
                 const std::uint32_t waiting
                     = jobs::isReady(job, occurrence, step) ? occurrence.steps[step].waiting : 0;
                 (spec.longRunning ? lasting : spec.bestEffort ? fills : firm) += waiting;
+                const bool isFirm = waiting > 0 && !spec.longRunning && !spec.bestEffort;
+                if (isFirm && spec.demand.millicores > largestFirm.millicores)
+                    largestFirm = spec.demand;
             }
         }
     }
+    std::int64_t capacity = 0;
+    std::int64_t free = 0;
+    std::int64_t firmPlaces = 0;
+    std::size_t usable = 0;
+    for (const jobs::candidate &worker : candidateWorkers(now)) {
+        ++usable;
+        capacity += worker.info.capacity.millicores;
+        free += worker.available.millicores;
+        if (largestFirm.millicores > 0)
+            firmPlaces += jobs::placesFor(worker, largestFirm);
+    }
+    std::int64_t lastingMillicores = 0;
+    for (const auto &[incarnation, load] : m_jobTable.loads)
+        lastingMillicores += load.longRunningMillicores;
     json waits = json::object();
     for (const auto &[service, found] : m_expectedWaits) {
         for (const auto &[priority, expected] : found.all)
             waits[service][std::to_string(priority)] = {expected.wait.count(), expected.backlog.count()};
     }
-    return {{"usableWorkers", usable},   {"capacityMillicores", capacity}, {"freeMillicores", free},
-            {"waitingLasting", lasting}, {"waitingToFill", fills},         {"waitingFirm", firm},
-            {"expectedWaitMs", waits}};
+    return {{"usableWorkers", usable},   {"capacityMillicores", capacity},
+            {"freeMillicores", free},    {"lastingMillicores", lastingMillicores},
+            {"waitingLasting", lasting}, {"waitingToFill", fills},
+            {"waitingFirm", firm},       {"largestFirmMillicores", largestFirm.millicores},
+            {"firmPlaces", firmPlaces},  {"expectedWaitMs", waits}};
 }
 
 json job_owner::dump() const
--- a/src/jobs/job_timing.cpp
+++ b/src/jobs/job_timing.cpp
@@ -45,6 +45,16 @@
     step.repeats += record.end != run_end::failed && record.end != run_end::done ? 1 : 0;
 }
 
+std::optional<milliseconds> sinceFirstStart(const occurrence_times &times, time_point now)
+{
+    std::optional<milliseconds> longest;
+    for (const step_times &step : times.steps) {
+        if (step.firstStart != time_point{})
+            longest = std::max(longest.value_or(milliseconds(0)), now - step.firstStart);
+    }
+    return longest;
+}
+
 json describeTiming(const occurrence_times &times, const job &spec)
 {
     json steps = json::array();
--- a/src/jobs/job_timing.h
+++ b/src/jobs/job_timing.h
@@ -3,6 +3,7 @@
 #include "jobs/job_table.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace almond::jobs {
@@ -35,15 +36,18 @@
 //! Updates the times with \a record, which was applied to \a table at \a now.
 void recordTiming(job_timings &timings, const job_table &table, const journal_record &record, time_point now);
 
+//! Returns how long before \a now the first task of an occurrence was started; nothing if this owner has
+//! started none.
+std::optional<milliseconds> sinceFirstStart(const occurrence_times &times, time_point now);
+
 //! Describes an ended occurrence for the log. For each step: how long it waited for free capacity after the
 //! steps that it depends on were done, from its first to its newest start, and how long its last task ran,
 //! all in milliseconds.
 nlohmann::json describeTiming(const occurrence_times &times, const job &spec);
 
-//! Takes the account of \a job out when it has ended; empty for one that goes on or is not known.
-std::vector<std::pair<std::uint32_t, occurrence_times>>
 //! Removes the times of \a job and returns them by occurrence if the job has ended. Returns nothing for an
 //! open or unknown job.
+std::vector<std::pair<std::uint32_t, occurrence_times>>
 takeEndedTimings(job_timings &timings, const job_table &table, const std::string &job);
 
 } // namespace almond::jobs
--- a/src/jobs/lateness.cpp
+++ b/src/jobs/lateness.cpp
@@ -33,18 +33,23 @@
     return milliseconds(static_cast<std::int64_t>(queue.stretch * chain)) + queue.targetDuration;
 }
 
-lateness latenessOf(const job_state &jobState, std::uint32_t number, const queue_rules &queue,
-                    time_point unixNow)
+time_point occurrenceBegin(const job &spec, std::uint32_t number)
 {
-    const job &spec = jobState.spec;
     const std::int64_t begunMs = spec.repetitions > 0
         ? spec.firstDueMs + static_cast<std::int64_t>(number) * spec.interval.count()
         : spec.acceptedAtMs;
+    return kernel::fromMillis(begunMs);
+}
+
+lateness latenessOf(const job_state &jobState, std::uint32_t number, const queue_rules &queue,
+                    time_point unixNow)
+{
+    const job &spec = jobState.spec;
     const milliseconds objective = completionObjective(spec, queue);
     const auto occurrence = jobState.occurrences.find(number);
     const milliseconds remaining
         = criticalPath(spec, occurrence == jobState.occurrences.end() ? nullptr : &occurrence->second);
-    const milliseconds ends = unixNow + remaining - kernel::fromMillis(begunMs);
+    const milliseconds ends = unixNow + remaining - occurrenceBegin(spec, number);
     if (ends <= objective)
         return lateness::inTime;
     return ends <= objective * maxUsefulMultiple ? lateness::late : lateness::farTooLate;
--- a/src/jobs/lateness.h
+++ b/src/jobs/lateness.h
@@ -17,6 +17,10 @@
 //! Time within which an occurrence should complete, measured from its acceptance or due time.
 milliseconds completionObjective(const job &spec, const queue_rules &queue);
 
+//! Unix time from which occurrence \a number of \a spec is to be served: its due time, or the acceptance of
+//! the job.
+time_point occurrenceBegin(const job &spec, std::uint32_t number);
+
 //! Lateness of occurrence \a number of \a jobState at \a unixNow.
 lateness latenessOf(const job_state &jobState, std::uint32_t number, const queue_rules &queue,
                     time_point unixNow);
--- a/src/jobs/planner.cpp
+++ b/src/jobs/planner.cpp
@@ -222,6 +222,18 @@
     return result;
 }
 
+std::int64_t placesFor(const candidate &worker, const resources &demand)
+{
+    const resources &available = worker.available;
+    std::int64_t places
+        = std::max<std::int64_t>(available.millicores, 0) / std::max<std::int64_t>(demand.millicores, 1);
+    if (demand.memoryMb > 0)
+        places = std::min(places, std::max<std::int64_t>(available.memoryMb, 0) / demand.memoryMb);
+    if (demand.accelerators > 0)
+        places = std::min(places, std::max<std::int64_t>(available.accelerators, 0) / demand.accelerators);
+    return places;
+}
+
 waiting_demand waitingDemand(const job_table &table)
 {
     waiting_demand demand;
--- a/src/jobs/planner.h
+++ b/src/jobs/planner.h
@@ -79,6 +79,9 @@
 //! Returns \a worker as a candidate without the resources of \a load; \a load is null for an idle worker.
 candidate makeCandidate(const worker_info &worker, const worker_load *load);
 
+//! Number of further tasks with the guaranteed resources \a demand that the free capacity of \a worker holds.
+std::int64_t placesFor(const candidate &worker, const resources &demand);
+
 //! What the waiting tasks have to know of the serving tasks on a candidate.
 struct waiting_demand
 {
--- a/tests/unit/job_timing_test.cpp
+++ b/tests/unit/job_timing_test.cpp
@@ -72,6 +72,16 @@
     EXPECT_EQ(steps[1]["lastRunMs"], 0);
 }
 
+//! The wait for the first start is no part of the times of the steps.
+TEST(JobTiming, TheFirstStartIsThatOfAnyStep)
+{
+    timing_fixture fixture;
+    fixture.apply(tests::started({onlyJob, 0, 0, 0}, 1, "w@1"), 100);
+    fixture.apply(tests::started({onlyJob, 0, 0, 1}, 1, "w@1"), 150);
+    EXPECT_EQ(jobs::sinceFirstStart(fixture.timings.at({onlyJob, 0}), at(400)), kernel::milliseconds(300));
+    EXPECT_FALSE(jobs::sinceFirstStart({}, at(400)));
+}
+
 TEST(JobTiming, ACancelledJobLeavesNoTimings)
 {
     timing_fixture fixture;
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -49,6 +49,22 @@
     EXPECT_EQ(fixture.plan().size(), 2U);
 }
 
+//! Free capacity in fragments was reported as room although no task fitted.
+TEST(Planner, FragmentsOfCapacityAreNoPlaces)
+{
+    planner_fixture fixture;
+    fixture.addWorker(tests::worker("v"));
+    jobs::candidate &worker = fixture.candidates.front();
+    worker.available = {25'000, 9'000, 0};
+    EXPECT_EQ(jobs::placesFor(worker, {10'000, 1'000, 0}), 2);
+    EXPECT_EQ(jobs::placesFor(worker, {10'000, 5'000, 0}), 1);
+    EXPECT_EQ(jobs::placesFor(worker, {10'000, 1'000, 1}), 0);
+    worker.available.millicores = 9'000;
+    EXPECT_EQ(jobs::placesFor(worker, {10'000, 1'000, 0}), 0);
+    worker.available.millicores = -1;
+    EXPECT_EQ(jobs::placesFor(worker, {10'000, 1'000, 0}), 0);
+}
+
 TEST(Planner, AGangStartsCompletelyOrNotAtAllWithOneRunNumber)
 {
     planner_fixture fixture;
