Soak: minions that restart under their ids, in series and before a cut

The soak restarted minions with all connections closed, their first report at once, and a clock that started with the play.

- `restart_and_cut`: restarts in series; the old connections may stay open and silent, the first report may be late, a node may end, and a cut follows.
The profile `restarts` plays mostly that.
- The first incarnation of a minion is older than the play, so that clocks of later ones start anew far below it.
- A play draws the longest lease: 6,000 or 10,000 ms.
There is at least one job that lasts, of 6 or 24 tasks.
- `restart_with_calls_under_way`: start orders without a response are carried out late by the next incarnation.
- The record shows leases that were shortened, and a play counts them: an owner asks for that much only by another clock.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -76,5 +76,6 @@
     return {"profile": profile, "starts": events["run-started"], "expired": events["entry-expired"],
             "frozen": events["node-frozen"], "nodes_ended": events["node-signalled"],
             "paused": events["minion-paused"], "restarted": events["minion-down"],
+            "leases_shortened": events["lease-shortened"],
             "refused": events["refused"], "late": events["executed-late"],
             "store_faults": events["store-down"] + events["store-slow"] + events["store-lossy"]}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -233,6 +233,51 @@
         finally:
             await self._bring_back(minions)
 
+    async def restart_and_cut(self):
+        """Minions restart under their ids, some in series, and are cut off soon after. The old connections of some stay
+        open and silent, and the first report of the new incarnation may be late."""
+        minions = self.some_minions(12)
+        try:
+            for _ in range(self.rng.choice((1, 1, 2, 3))):
+                for minion in minions:
+                    minion.crash(dark=self.rng.random() < 0.5)
+                await asyncio.sleep(self.rng.uniform(0.0, 0.8))
+                for minion in minions:
+                    await minion.boot(report_after_s=self.rng.choice((0.0, self.rng.uniform(0.1, 3.0))))
+                await asyncio.sleep(self.rng.uniform(0.5, 2.5))
+            if self.rng.random() < 0.3:
+                await self.restart_node()
+            if self.rng.random() < 0.8:
+                for minion in minions:
+                    minion.cut()
+                await asyncio.sleep(about(self.rng, self.rng.choice((3.6, 8.0, 9.0, 10.5))))
+        finally:
+            for minion in minions:
+                if minion.cut_from_store:
+                    minion.heal()
+                    minion.register()
+            await self._bring_back(minions)
+
+    async def restart_with_calls_under_way(self):
+        """Start orders that get no response are carried out late, also by the next incarnation of their minion."""
+        minions = self.some_minions(8)
+        try:
+            for minion in minions:
+                minion.late_share = self.rng.uniform(0.3, 0.9)
+            await asyncio.sleep(self.rng.uniform(0.5, 2.0))
+            for minion in minions:
+                minion.crash(dark=self.rng.random() < 0.5)
+            await asyncio.sleep(self.rng.uniform(0.0, 0.8))
+            for minion in minions:
+                await minion.boot(report_after_s=self.rng.choice((0.0, self.rng.uniform(0.1, 3.0))))
+                minion.takes_earlier_calls = True
+            await asyncio.sleep(5.0)
+        finally:
+            for minion in minions:
+                minion.late_share = 0.0
+                minion.takes_earlier_calls = False
+            await self._bring_back(minions)
+
     async def swap_addresses(self):
         """Minions restart; each takes the address that another one had."""
         minions = self.some_minions(3)
@@ -304,16 +349,27 @@
 NODE_FAULTS = ("freeze_node", "freeze_node", "starve_node", "restart_node", "cut_node_from_store")
 MINION_FAULTS = ("hover", "hover", "hover", "mix", "mix", "mix", "mix", "pause_minions", "pause_minions",
                  "cut_minions", "cut_minions", "delay_polls", "delay_orders", "execute_late",
-                 "lose_responses", "refuse", "late_then_refuse", "restart_minions", "swap_addresses")
+                 "lose_responses", "refuse", "late_then_refuse", "restart_minions", "swap_addresses",
+                 "restart_and_cut")
+RESTARTS = ("restart_and_cut", "restart_and_cut", "restart_and_cut", "restart_minions", "lose_responses",
+            "delay_orders")
+# Start orders reach another incarnation than the one that they were sent to; played only if it is asked for.
+CALLS_UNDER_WAY = ("restart_with_calls_under_way", "restart_with_calls_under_way", "restart_and_cut")
+PROFILES = ("minions", "minions", "nodes", "store", "all", "all", "restarts", "restarts")
 STORE_FAULTS = ("slow_store", "lossy_store", "store_down")
 
 
-def actors(deployment, rng):
+def actors(deployment, rng, profile=None):
     """The faults of a play, which overlap: some plays have trouble of one kind only, most have several."""
-    profile = rng.choice(("minions", "minions", "nodes", "store", "all", "all"))
+    drawn = rng.choice(PROFILES)
+    profile = profile or drawn
     groups = []
     if profile in ("minions", "all"):
         groups += [(MINION_FAULTS, 1.5)] * rng.randint(2, 4)
+    if profile == "restarts":
+        groups += [(RESTARTS, 1.0)] * 2
+    if profile == "calls_under_way":
+        groups += [(CALLS_UNDER_WAY, 1.0)] * 2
     if profile in ("nodes", "all"):
         groups += [(NODE_FAULTS, 3.0)] * rng.randint(1, 2)
     if profile in ("store", "all"):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -53,8 +53,9 @@
         return steps, {"s": seconds}
 
     async def run(self):
-        for _ in range(self.rng.randint(0, 2)):
-            step = {"count": 6, "cpu": 500, "mem_mb": 500, "estimate_ms": 500, "long_running": True}
+        for _ in range(self.rng.randint(1, 2)):
+            step = {"count": self.rng.choice((6, 24)), "cpu": 500, "mem_mb": 500, "estimate_ms": 500,
+                    "long_running": True}
             self.spawn(self.submit(self.name(), [step], {"s": 3600.0}, lasting=True))
         while True:
             # Between waves most minions have nothing to run.
@@ -151,12 +152,13 @@
     clients = Clients(deployment, random.Random(rng.random()))
     fault_rng = random.Random(rng.random())
     random.seed(rng.random())
-    summary = {"seed": options.seed}
+    harness.MAX_HOLD_MS = rng.choice(stand_ins.LONGEST_LEASES_MS)
+    summary = {"seed": options.seed, "longest_lease_ms": harness.MAX_HOLD_MS}
     try:
         await deployment.start()
         polls = asyncio.create_task(watch_polls(deployment))
         traffic = asyncio.create_task(clients.run())
-        acting = [asyncio.create_task(actor) for actor in faults.actors(deployment, fault_rng)]
+        acting = [asyncio.create_task(actor) for actor in faults.actors(deployment, fault_rng, options.profile)]
         await asyncio.sleep(options.seconds)
         for task in acting:
             task.cancel()
@@ -218,6 +220,7 @@
     free = asyncio.Semaphore(options.parallel)
     words = [sys.executable, os.path.abspath(__file__), "--program", options.program, "--seconds",
              str(options.seconds)] + (["--keep"] if options.keep else [])
+    words += ["--profile", options.profile] if options.profile else []
 
     async def one(seed):
         async with free:
@@ -235,6 +238,8 @@
     parser.add_argument("--seed", type=int, default=int(time.time()))
     parser.add_argument("--seconds", type=float, default=25.0, help="how long there are faults")
     parser.add_argument("--program", default=os.path.join(ROOT, "build", "bin", "almond-node"))
+    parser.add_argument("--profile", choices=(*sorted(set(faults.PROFILES)), "calls_under_way"),
+                        help="the kind of faults, instead of the one that the seed draws")
     parser.add_argument("--keep", action="store_true", help="keep record and logs also if the rules held")
     parser.add_argument("--folder", help="where record and logs go, which are kept")
     parser.add_argument("--plays", type=int, default=1, help="play this many seeds, from --seed on")
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -14,9 +14,9 @@
 sys.path.insert(0, os.path.join(ROOT, "review", "lib"))
 import harness  # noqa: E402
 
-# Bounds of the site tichomer-ba.
+# Bounds of the site tichomer-ba; a play draws the longest lease, as sites differ in it.
 harness.HEARTBEAT_S = 1.1
-harness.MAX_HOLD_MS = 6_000
+LONGEST_LEASES_MS = (6_000, 10_000)
 # The harness ends a run half of this time after the order; a stop may take 400 ms.
 harness.STOP_S = 0.7
 GRACE_S = 6.0
@@ -97,6 +97,18 @@
             await self._execute(path, query, harness.json.loads(body))
 
 
+class HttpServer(harness.HttpServer):
+    """A server that can stop listening while its connections stay open."""
+
+    def stop_listening(self):
+        if self.server:
+            self.server.close()
+            self.server = None
+
+
+harness.HttpServer = HttpServer
+
+
 class Minion(harness.Minion):
     """A minion with faults of its own. Leases end by its clock before anything else is done, also after a pause."""
 
@@ -104,7 +116,10 @@
         super().__init__(deployment, name, zone, rack, capacity)
         self.rng = rng
         self.rate = rng.choice((1.0, rng.uniform(SLOWEST_CLOCK, 1.0)))
+        # A play begins long after the start of the first incarnation.
+        self.age_ms = rng.randint(10_000, 600_000)
         self.busy = False
+        self.left_behind = []  # servers of earlier incarnations whose connections are silent
         self._reset_faults()
 
     def _reset_faults(self):
@@ -113,30 +128,51 @@
         self.quiet = False
         self.refusals = None  # (status, calls that are refused, share)
         self.late_share = 0.0
+        self.takes_earlier_calls = False
         self.lost_share = 0.0
         self.order_delay = (0.0, 0.0)
         self.response_delay = (0.0, 0.0)
         self.poll_delay = (0.0, 0.0)
 
-    async def boot(self):
+    async def boot(self, report_after_s=0.0):
+        """Starts the next incarnation, whose first report to the store may be late."""
         self._reset_faults()
         self.lapsed = False
         self.cut_from_store = False
+        self.quiet = report_after_s > 0
+        for server in self.left_behind:
+            server.stop_listening()
         for _ in range(100):
             try:
                 await super().boot()
+                asyncio.get_running_loop().call_later(report_after_s, self._report, self.life)
                 return
             except OSError:
                 self.up = False
                 await asyncio.sleep(0.05)
         raise harness.CannotRun("an address of a minion is taken")
 
-    def crash(self):
+    def _report(self, life):
+        if life == self.life and self.quiet:
+            self.quiet = False
+            self.register()
+
+    def crash(self, dark=False):
+        """With `dark` no connection is closed or reset: what arrives on it gets no response, also later."""
         self.lapse_if_due()
+        if dark:
+            self.http.silent = True
+            self.left_behind.append(self.http)
+            self.http = HttpServer(self.handle)
         super().crash()
 
+    def abort(self):
+        for server in (*self.left_behind, self.http):
+            server.abort()
+
     def clock(self):
-        return int((time.monotonic() - self.booted) * 1000 * self.rate)
+        age_ms = self.age_ms if self.life == 1 else 0
+        return age_ms + int((time.monotonic() - self.booted) * 1000 * self.rate)
 
     def register(self):
         if not (self.paused or self.quiet or self.store.down) and self.up:
@@ -173,6 +209,9 @@
             self._finish(run, "lapsed")
 
     def extend(self, deadline):
+        if deadline > self.clock() + harness.MAX_HOLD_MS:
+            # An owner asks for less by the clock of this incarnation.
+            self.record.add("lease-shortened", minion=self.id, life=self.life, deadline=deadline, clock=self.clock())
         super().extend(deadline)
         self.lapsed = self.clock() > self.lease_until
 
@@ -216,10 +255,11 @@
         await asyncio.sleep(delay)
         if self.paused:
             await self._until_woken()
-        if self.up and life == self.life:
+        if self.up and (life == self.life or self.takes_earlier_calls):
             self.deployment.lapse_all()
             answer = await super().handle(method, path, query, headers, body)
-            self.record.add("executed-late", minion=self.id, body=body.decode(), status=answer and answer[0])
+            self.record.add("executed-late", minion=self.id, body=body.decode(), status=answer and answer[0],
+                            sent_to_life=life, life=self.life)
 
 
 class Node(harness.Node):
@@ -334,7 +374,6 @@
             node.store_http.abort()
             node.log.close()
         for minion in self.minions:
-            if minion.up:
-                minion.http.abort()
+            minion.abort()
         self.record.add("end")
         self.record.close()
