A silent worker with nothing assigned is polled until it responds

Cause: once its lease had ended, a worker that was still listed had no runs, so it was not polled before its clock reading was 15 s old; and it gets no new tasks before it has responded. The owner's log calls that 'only unreachable workers have room'.

--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -86,8 +86,11 @@
 {
     while (!m_resigned && !worker->session.dead && !isUnused(*worker)) {
         if (!needsPoll(*worker, m_dependencies.clock())) {
-            co_await worker->signal.wait(m_dependencies.rules.clockValidity);
-            continue;
+            const bool isSilent = worker->session.unansweredSince != time_point{};
+            co_await worker->signal.wait(isSilent ? m_dependencies.rules.silentPollInterval
+                                                  : m_dependencies.rules.clockValidity);
+            if (!isSilent || worker->session.dead || !worker->session.listed)
+                continue;
         }
         // A worker responds immediately while it has ends that are not acknowledged; polling it before they
         // are durable would be a busy loop.
