The end of a run that was taken for lost counts while its task waits

Cause: the list of the worker that is back has that end. It was acknowledged, but not counted, since the run was not assigned any more. A run number stands for one run, so that its end as done is true whenever it is read. Now it counts while the task waits and has had no later run. Ends as failed are left out: a list repeats them until they are acknowledged, and they would count twice.

returned_worker_test RunThatWasDoneInTheSilenceIsNotRepeated fails before (the job is not completed within 10 s) and passes after.

--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -178,9 +178,32 @@
     step.lastFailedRun = std::max(step.lastFailedRun, run);
 }
 
+bool isWaitingAfter(const located_task &place, std::uint32_t run)
+{
+    return place.task && place.task->phase == task_phase::waiting && place.task->run == run && run > 0
+        && !place.spec->longRunning && !isFinal(place.jobState->status);
+}
+
+//! Applies the end as done of a run that was counted as lost.
+void applyLateDone(job_table &table, const located_task &place, const task_name &name)
+{
+    if (place.spec->gang) {
+        finishGang(table, place, name);
+    } else {
+        --place.step->waiting;
+        --place.jobState->waiting;
+        finishTask(place);
+    }
+    updateWaiting(table, *place.jobState);
+}
+
 bool applyEnded(job_table &table, const journal_record &record)
 {
     const located_task place = locate(table, record.task);
+    if (record.end == run_end::done && isWaitingAfter(place, record.run)) {
+        applyLateDone(table, place, record.task);
+        return true;
+    }
     if (!place.task || place.task->phase != task_phase::assigned || record.run != place.task->run)
         return false;
     const bool finished = record.end == run_end::done && !place.spec->longRunning;
@@ -313,6 +336,11 @@
     return run == load->second.runs.end() ? 0 : run->second;
 }
 
+bool isLatestRunOfWaitingTask(const job_table &table, const task_name &name, std::uint32_t run)
+{
+    return isWaitingAfter(locate(const_cast<job_table &>(table), name), run);
+}
+
 std::vector<journal_record> recordMoves(const job_table &table, std::string_view from, const std::string &to)
 {
     std::vector<journal_record> records;
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -208,7 +208,9 @@
             seen.insert(row.task);
     }
     for (const ended_report &row : response.ended) {
-        if (assignedRun(table, session.incarnation, row.task) == row.run && seen.insert(row.task).second)
+        const bool isAwaited = assignedRun(table, session.incarnation, row.task) == row.run
+            || (row.end == run_end::done && isLatestRunOfWaitingTask(table, row.task, row.run));
+        if (isAwaited && seen.insert(row.task).second)
             records.push_back(makeEndRecord(row.task, row.run, row.end, row.checkpoint));
         session.endsRead = std::max(session.endsRead, row.number);
         // The end of an earlier run may be reported again together with the run that followed it.
--- a/tests/unit/returned_worker_test.cpp
+++ b/tests/unit/returned_worker_test.cpp
@@ -20,8 +20,21 @@
             return !tasks.empty() && tasks.front().at("waitsFor") == "room";
         }));
     }
+
+    bool isCompleted() { return owner->statusOf(tests::onlyJob) == jobs::job_status::completed; }
 };
 
+//! Guards against a run that ended as done while its worker was silent: its end was acknowledged but not
+//! counted, and the task ran once more (TWICE).
+TEST_F(returned_worker_test, RunThatWasDoneInTheSilenceIsNotRepeated)
+{
+    loseTheWorker(tests::step(1, 500));
+    workers.endAll(jobs::run_end::done);
+    workers.unresponsive.clear();
+    EXPECT_TRUE(runUntil([this] { return isCompleted(); }));
+    EXPECT_EQ(workers.starts.size(), 1U);
+}
+
 //! Guards against a worker that is back and gets no tasks for seconds, since it is not polled while nothing
 //! is assigned to it: what is to last did not run although there was room (LOST).
 TEST_F(returned_worker_test, WorkerIsUsedAgainWithinASecondOfItsReturn)
