Fleets of the tests: an order reaches only the incarnation that it is meant for

The fleets in memory and the model of session_orders_test follow this contract now. fake_fleet::checksIncarnation switches it off for restarted_worker_test, which goes on testing what the owner does where a new incarnation carries out such an order all the same. The model also stops unanswered starts at the next incarnation, and repeats a stop that an earlier one has confirmed, as job_owner does.

New: orders without a response that the platform carries out later, at the next incarnation (event_budget::lateOrdersAcrossRestarts, latePollsAcrossRestarts).

--- a/tests/unit/restarted_worker_test.cpp
+++ b/tests/unit/restarted_worker_test.cpp
@@ -1,7 +1,7 @@
 #include "tests/unit/owner_fixture.h"
 
-//! Workers that restart while a start order is under way to them. An order names the worker but not its
-//! incarnation, so that the new one accepts it.
+//! Workers that restart while a start order is under way to them, and the new incarnation accepts it all the
+//! same.
 namespace {
 
 using namespace almond;
@@ -20,6 +20,7 @@
     void SetUp() override
     {
         owner_fixture::SetUp();
+        workers.checksIncarnation = false;
         // Until the worker has responded, nothing is placed on it.
         ASSERT_TRUE(runUntil([this] { return owner->counters().polls >= 1; }));
         runFor(milliseconds(50));
--- a/tests/unit/session_orders_test.cpp
+++ b/tests/unit/session_orders_test.cpp
@@ -9,8 +9,7 @@
 //! All orders of events between an owner and a worker, up to a number of each kind of event. A run that the
 //! owner counts as over never runs at that moment or later, and no two runs are at once.
 //!
-//! Not covered: a start order that the owner no longer awaits and that reaches a later incarnation than the
-//! one to which it was sent, stop orders that are refused, and clocks that drift.
+//! Not covered: stop orders that are refused, and clocks that drift.
 namespace {
 
 using namespace almond;
@@ -162,4 +161,30 @@
     expectNoViolation(budget);
 }
 
+//! A start order without a response that the next incarnation carries out, where its run has failed before.
+TEST(SessionOrders, LateOrderAcrossARestartAfterAFailedRun)
+{
+    event_budget budget;
+    budget.polls = 3;
+    budget.restarts = 1;
+    budget.lostResponses = 1;
+    budget.failures = 1;
+    budget.lateOrdersAcrossRestarts = 1;
+    expectNoViolation(budget);
+}
+
+//! An acknowledgement without a response that the next incarnation carries out.
+TEST(SessionOrders, LatePollAcrossARestartAfterTwoFailedRuns)
+{
+    event_budget budget;
+    budget.runs = 3;
+    budget.startAttempts = 1;
+    budget.polls = 3;
+    budget.restarts = 1;
+    budget.lostResponses = 1;
+    budget.failures = 2;
+    budget.latePollsAcrossRestarts = 1;
+    expectNoViolation(budget);
+}
+
 } // namespace
--- a/tests/unit/session_orders_worker.cpp
+++ b/tests/unit/session_orders_worker.cpp
@@ -59,7 +59,9 @@
     jobs::order_response response;
     response.outcome = why == order_refusal::none ? order_outcome::accepted : order_outcome::refused;
     response.refusal = why;
-    response.workerClockMs = clockOf(state);
+    // Another incarnation than the one that the order is meant for does not read it.
+    if (why != order_refusal::restarted)
+        response.workerClockMs = clockOf(state);
     return response;
 }
 
@@ -80,6 +82,12 @@
     return respond(state);
 }
 
+void executeStop(model_state &state, std::uint32_t run)
+{
+    state.worker.highestEnded = std::max(state.worker.highestEnded, run);
+    state.worker.stopping = state.worker.stopping || state.worker.running == run;
+}
+
 void executePoll(model_state &state, std::uint64_t acknowledge, std::optional<std::int64_t> leaseEndMs)
 {
     for (const jobs::ended_report &row : state.worker.ended) {
