An acceptance by an earlier incarnation does not settle a start that has another order without a response

The owner left the stop of the unanswered order to the start in progress, which ended with the acceptance. No stop reached the next incarnation; the platform may carry out the first order there seconds later, when the run has been counted as lost (TWICE).

Now the start goes on and stops its run at the present incarnation, as after any other restart. A start with one order is not concerned.

--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -355,6 +355,9 @@
     // shows which.
     const bool runExists = response.outcome == order_outcome::accepted
         || (response.outcome == order_outcome::refused && response.refusal == order_refusal::obsolete);
+    // An earlier order without a response may still reach the present incarnation.
+    if (runExists && attempt.mayHaveArrived && worker.session.incarnation != attempt.sentTo)
+        return false;
     if (runExists) {
         ++m_counters.starts;
         jobs::recordAcceptedRun(worker.session, record.task, record.run, now);
--- a/tests/unit/session_orders_model.cpp
+++ b/tests/unit/session_orders_model.cpp
@@ -128,6 +128,9 @@
         jobs::recordResponse(*state.session, response, nowOf(state));
     const bool exists
         = response.outcome == order_outcome::accepted || response.refusal == order_refusal::obsolete;
+    // Another order may still reach the next incarnation.
+    if (exists && start.mayHaveArrived && state.session->incarnation != sentTo)
+        return true;
     if (exists) {
         jobs::recordAcceptedRun(*state.session, onlyTask, start.run, nowOf(state));
         endProcedure(state, index);
