A list from before the stop of a run at the next incarnation does not decide about the run

An earlier incarnation had accepted a repeated start order, the first one had no response. After the restart the run is stopped at the next incarnation. A list made there before the first order was carried out arrived after the stop: the acceptance was older than its poll, so that the run counted as lost while it was still being stopped (TWICE). The stop was not looked at where there was an acceptance.

Now both must have been settled before the poll was sent.

--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -30,19 +30,18 @@
 }
 
 //! Returns whether the worker must report the run if it has it. False while its start order was neither
-//! answered nor stopped when the poll was sent.
+//! answered nor stopped when the poll was sent. A run that an earlier incarnation has accepted may be stopped
+//! at the present one, since another order for it had no response: then the stop counts as well.
 bool mustBeReported(const worker_session &session, const task_name &task, std::uint32_t run,
                     time_point sentAt)
 {
     if (session.pendingStarts.contains(task))
         return false;
-    const auto accepted = session.acceptedRuns.find(task);
-    if (accepted != session.acceptedRuns.end() && accepted->second.first == run)
-        return accepted->second.second < sentAt;
-    const auto stopped = session.stoppedStarts.find(task);
-    if (stopped != session.stoppedStarts.end() && stopped->second.first == run)
-        return stopped->second.second < sentAt;
-    return true;
+    const auto isSettled = [&](const auto &settledRuns) {
+        const auto found = settledRuns.find(task);
+        return found == settledRuns.end() || found->second.first != run || found->second.second < sentAt;
+    };
+    return isSettled(session.acceptedRuns) && isSettled(session.stoppedStarts);
 }
 
 } // namespace
--- a/tests/unit/session_orders_test.cpp
+++ b/tests/unit/session_orders_test.cpp
@@ -161,6 +161,19 @@
     expectNoViolation(budget);
 }
 
+//! Orders without a response that the next incarnation carries out. A run whose repeated start order the
+//! earlier incarnation had accepted was counted as lost by a list from before its stop, or without a stop.
+TEST(SessionOrders, LateOrderAcrossARestart)
+{
+    event_budget budget;
+    budget.polls = 3;
+    budget.restarts = 1;
+    budget.lostResponses = 1;
+    budget.lateOrdersAcrossRestarts = 1;
+    budget.latePollsAcrossRestarts = 1;
+    expectNoViolation(budget);
+}
+
 //! A start order without a response that the next incarnation carries out, where its run has failed before.
 TEST(SessionOrders, LateOrderAcrossARestartAfterAFailedRun)
 {
