--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -430,6 +430,38 @@
             {"firmPlaces", firmPlaces},  {"expectedWaitMs", waits}};
 }
 
+json job_owner::explain(const std::string &id) const
+{
+    const auto found = m_jobTable.jobs.find(id);
+    if (found == m_jobTable.jobs.end())
+        return {{"job", id}, {"known", false}};
+    const jobs::job_state &job = found->second;
+    json tasks = json::array();
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const bool ready = jobs::isReady(job, occurrence, step);
+            for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
+                const jobs::task_state &state = occurrence.steps[step].tasks[index];
+                if (state.phase == jobs::task_phase::done)
+                    continue;
+                const bool waiting = state.phase == jobs::task_phase::waiting;
+                const char *waitsFor = ready ? "room" : "earlier steps";
+                tasks.push_back({{"task", jobs::formatTask({id, number, step, index})},
+                                 {"waitsFor", waiting ? waitsFor : "its end"},
+                                 {"run", state.run},
+                                 {"failures", state.failures},
+                                 {"worker", state.worker}});
+            }
+        }
+    }
+    return {{"job", id},
+            {"known", true},
+            {"queue", job.spec.queue},
+            {"status", jobs::statusName(job.status)},
+            {"acceptedAtMs", job.spec.acceptedAtMs},
+            {"openTasks", std::move(tasks)}};
+}
+
 json job_owner::dump() const
 {
     return {{"room", describeCapacity()},
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -241,6 +241,7 @@
     void applyPollResponse(const managed_worker_ptr &worker, const sent_poll &poll,
                            const jobs::poll_response &response);
     void pollOverdueWorkers(time_point now);
+    void countOrderForEarlier() const;
 
     kernel::task<bool> readJournal();
     std::size_t applyEntry(const store::journal_entry &entry);
--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -230,6 +230,8 @@
     worker->polls.listSentAt = poll.sentAt;
     worker->polls.listedAt = now;
     if (jobs::isOtherIncarnation(worker->session, response)) {
+        if (poll.order.leaseEndMs || poll.order.acknowledge > 0)
+            countOrderForEarlier();
         replaceIncarnation(worker, response.bornMs);
         applyListing(*worker);
     }
@@ -250,6 +252,12 @@
         m_commitSignal.wake();
 }
 
+void job_owner::countOrderForEarlier() const
+{
+    if (m_dependencies.metrics)
+        m_dependencies.metrics->ordersForEarlier->Increment();
+}
+
 void job_owner::updateWorkerHealth(managed_worker &worker, const jobs::poll_response &response,
                                    time_point now)
 {
@@ -378,10 +386,12 @@
         resign("a worker has seen a later term");
         return true;
     }
-    if (response.refusal == order_refusal::restarted)
+    if (response.refusal == order_refusal::restarted) {
+        countOrderForEarlier();
         worker.signal.wake();
-    else
+    } else {
         worker.refusedAt = now;
+    }
     // The refusal concerns this order only; an earlier one without a response may have been executed.
     if (attempt.mayHaveArrived && !worker.session.dead)
         return false;
@@ -474,36 +484,4 @@
         co_await stopRun(self, worker, record.task, record.run);
 }
 
-json job_owner::explain(const std::string &id) const
-{
-    const auto found = m_jobTable.jobs.find(id);
-    if (found == m_jobTable.jobs.end())
-        return {{"job", id}, {"known", false}};
-    const jobs::job_state &job = found->second;
-    json tasks = json::array();
-    for (const auto &[number, occurrence] : job.occurrences) {
-        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-            const bool ready = jobs::isReady(job, occurrence, step);
-            for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
-                const jobs::task_state &state = occurrence.steps[step].tasks[index];
-                if (state.phase == jobs::task_phase::done)
-                    continue;
-                const bool waiting = state.phase == jobs::task_phase::waiting;
-                const char *waitsFor = ready ? "room" : "earlier steps";
-                tasks.push_back({{"task", jobs::formatTask({id, number, step, index})},
-                                 {"waitsFor", waiting ? waitsFor : "its end"},
-                                 {"run", state.run},
-                                 {"failures", state.failures},
-                                 {"worker", state.worker}});
-            }
-        }
-    }
-    return {{"job", id},
-            {"known", true},
-            {"queue", job.spec.queue},
-            {"status", jobs::statusName(job.status)},
-            {"acceptedAtMs", job.spec.acceptedAtMs},
-            {"openTasks", std::move(tasks)}};
-}
-
 } // namespace almond::fleet
--- a/src/fleet/owner_metrics.cpp
+++ b/src/fleet/owner_metrics.cpp
@@ -180,6 +180,12 @@
                                 .Help("Orders to stop a run that the worker has refused.")
                                 .Register(registry)
                                 .Add({});
+    metrics.ordersForEarlier
+        = &prometheus::BuildCounter()
+               .Name("almond_orders_for_earlier_incarnation_total")
+               .Help("Starts, renewals and acknowledgements held back since the worker had restarted.")
+               .Register(registry)
+               .Add({});
     addTargetMissMetrics(registry, metrics);
     addThrottleMetrics(registry, metrics);
     return metrics;
--- a/src/fleet/owner_metrics.h
+++ b/src/fleet/owner_metrics.h
@@ -45,6 +45,8 @@
     prometheus::Counter *sessionsReopened = nullptr;
     prometheus::Counter *overlappingPolls = nullptr;
     prometheus::Counter *refusedStops = nullptr;
+    //! Orders that were held back since the worker had restarted.
+    prometheus::Counter *ordersForEarlier = nullptr;
     prometheus::Histogram *targetMisses = nullptr;
     prometheus::Gauge *longestTargetMiss = nullptr;
     prometheus::Histogram *measurementGaps = nullptr;
--- a/tests/unit/owner_metrics_test.cpp
+++ b/tests/unit/owner_metrics_test.cpp
@@ -68,6 +68,7 @@
     EXPECT_TRUE(fleet.shows("almond_worker_sessions_reopened_total 0"));
     EXPECT_TRUE(fleet.shows("almond_worker_polls_overlapping_total 0"));
     EXPECT_TRUE(fleet.shows("almond_stops_refused_total 0"));
+    EXPECT_TRUE(fleet.shows("almond_orders_for_earlier_incarnation_total 0"));
     EXPECT_TRUE(fleet.shows("almond_target_miss_seconds_count 0"));
     EXPECT_TRUE(fleet.shows("almond_target_miss_longest_seconds 0"));
     EXPECT_TRUE(fleet.shows("almond_serving_measurement_gap_seconds_count 0"));
