The end of a run as done counts also after a later run was planned

Found by review: where several workers return at once, or a later run was planned and not started, the end as done of the run that was taken for lost was still acknowledged without being counted, and the task ran again (TWICE). Such an end is true whenever it is read, so it counts for a task that waits after any later run, and for one that is assigned with a later run, which is then stopped as unwanted.

--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -178,17 +178,23 @@
     step.lastFailedRun = std::max(step.lastFailedRun, run);
 }
 
-bool isWaitingAfter(const located_task &place, std::uint32_t run)
+bool countsLate(const located_task &place, std::uint32_t run)
 {
-    return place.task && place.task->phase == task_phase::waiting && place.task->run == run && run > 0
-        && !place.spec->longRunning && !isFinal(place.jobState->status);
+    if (!place.task || run == 0 || place.spec->longRunning || isFinal(place.jobState->status))
+        return false;
+    const bool isWaiting = place.task->phase == task_phase::waiting && run <= place.task->run;
+    const bool isFollowed = place.task->phase == task_phase::assigned && run < place.task->run;
+    return isWaiting || isFollowed;
 }
 
-//! Applies the end as done of a run that was counted as lost.
+//! Applies the end as done of a run that was counted as lost. A later run has nothing left to do.
 void applyLateDone(job_table &table, const located_task &place, const task_name &name)
 {
     if (place.spec->gang) {
         finishGang(table, place, name);
+    } else if (place.task->phase == task_phase::assigned) {
+        release(table, place, name);
+        finishTask(place);
     } else {
         --place.step->waiting;
         --place.jobState->waiting;
@@ -200,7 +206,7 @@
 bool applyEnded(job_table &table, const journal_record &record)
 {
     const located_task place = locate(table, record.task);
-    if (record.end == run_end::done && isWaitingAfter(place, record.run)) {
+    if (record.end == run_end::done && countsLate(place, record.run)) {
         applyLateDone(table, place, record.task);
         return true;
     }
@@ -336,9 +342,9 @@
     return run == load->second.runs.end() ? 0 : run->second;
 }
 
-bool isLatestRunOfWaitingTask(const job_table &table, const task_name &name, std::uint32_t run)
+bool countsIfDone(const job_table &table, const task_name &name, std::uint32_t run)
 {
-    return isWaitingAfter(locate(const_cast<job_table &>(table), name), run);
+    return countsLate(locate(const_cast<job_table &>(table), name), run);
 }
 
 std::vector<journal_record> recordMoves(const job_table &table, std::string_view from, const std::string &to)
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -208,7 +208,7 @@
     }
     for (const ended_report &row : response.ended) {
         const bool isAwaited = assignedRun(table, session.incarnation, row.task) == row.run
-            || (row.end == run_end::done && isLatestRunOfWaitingTask(table, row.task, row.run));
+            || (row.end == run_end::done && countsIfDone(table, row.task, row.run));
         if (isAwaited && seen.insert(row.task).second)
             records.push_back(makeEndRecord(row.task, row.run, row.end, row.checkpoint));
         session.endsRead = std::max(session.endsRead, row.number);
