A worker that does not name its incarnation gets no bound orders, and no exception

Found by review: a birth that is a string, negative or missing threw out of the client, so that a poll was never counted as missing and a start never settled; a missing one was taken for another incarnation for ever, and acknowledgements counted that were not sent. Now such an order was not sent. A question that is refused keeps its connection, instead of one new connection for each order to an unhealthy worker.

earlier_incarnation_order_test MalformedBirthCountsAsNoResponse (before: by reading only).

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -295,6 +295,9 @@
         result = co_await identify(*conn, *check, deadline);
         if (result.status != exchange_status::answered) {
             noteRefusal(*usage, result, reused);
+            const bool isAnswered = result.status == exchange_status::otherProcess;
+            if (isAnswered && result.answer.keep_alive() && conn->buffer.size() == 0)
+                keep(peer, std::move(conn));
             co_return result;
         }
     }
--- a/tests/platform/earlier_incarnation_order_test.cpp
+++ b/tests/platform/earlier_incarnation_order_test.cpp
@@ -57,6 +57,8 @@
         json body{{"clock_ms", 9}};
         if (calls.back().path == "/hold") {
             body["born"] = bornMs;
+            if (!oddBirth.is_null())
+                body["born"] = oddBirth;
             body["running"] = json::array();
             body["ended"] = json::array();
         }
@@ -115,6 +117,8 @@
     boost::asio::io_context context;
     std::vector<received_call> calls;
     http::status holdStatus = http::status::ok;
+    //! Returned instead of the birth, unless null.
+    json oddBirth;
     std::unique_ptr<http::server> minion;
     http::connection_pool connections{context, http::pool_limits{}};
     jobs::worker_api api = platform::makeWorkerApi(connections, {});
@@ -166,6 +170,20 @@
     EXPECT_EQ(calls.size(), 2U);
 }
 
+//! A malformed birth ended the task that sent the order, so that its outcome never became known (LOST).
+TEST_F(earlier_incarnation_order_test, MalformedBirthCountsAsNoResponse)
+{
+    for (const json &birth : {json("1"), json(-1), json(1.5), json::array()}) {
+        oddBirth = birth;
+        EXPECT_EQ(start(1).outcome, jobs::order_outcome::notSent) << birth;
+        EXPECT_NE(poll(1).result.outcome, jobs::order_outcome::accepted) << birth;
+        poll(1, false);
+    }
+    EXPECT_FALSE(anyCallIsBinding());
+    oddBirth = nullptr;
+    EXPECT_EQ(start(1).outcome, jobs::order_outcome::accepted);
+}
+
 TEST_F(earlier_incarnation_order_test, RefusedQuestionIsReportedAsTheRefusalOfTheOrder)
 {
     holdStatus = http::status::conflict;
