Relays of the earlier format take no bound orders

Found by review: a relay of the version before ignores the birth of the incarnation that an order names, so that during an update a start or a renewal could reach another one. The test of a lost relay takes the call's name from the constant instead of a copy.

--- a/src/relay/order_codec.cpp
+++ b/src/relay/order_codec.cpp
@@ -139,8 +139,7 @@
     relayed_order order;
     order.number = codec::integerOf<std::uint64_t>(in.at(0));
     order.target = {in.at(2), in.at(3), codec::integerOf<std::uint64_t>(in.at(4)), 0};
-    if (in.size() > 6)
-        order.target.bornMs = codec::integerOf<std::int64_t>(in.at(6));
+    order.target.bornMs = codec::integerOf<std::int64_t>(in.at(6));
     const json &details = in.at(5);
     switch (decodeEnum(in.at(1), order_kind::throttle)) {
     case order_kind::start:
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -223,7 +223,7 @@
     ASSERT_TRUE(runUntil([&] { return dispatcher->usableRelays() == 1; }));
     orderRelay->stop();
     // The relay accepts the connection but never handles the order.
-    relayPeers.provide("relay.orders.2", [](wire::json) -> task<wire::json> {
+    relayPeers.provide(relay::calls::orders, [](wire::json) -> task<wire::json> {
         co_await kernel::sleepFor(kernel::milliseconds(5000));
         co_return wire::json::object();
     });
@@ -309,4 +309,30 @@
     EXPECT_EQ(relayedWorkers.starts.back().task, jobs::formatTask({jobId, 0, 0, 2}));
 }
 
+//! A relay started a run at another incarnation of the worker than the one that the owner meant (TWICE).
+TEST_F(order_relay_test, StartNamesTheIncarnationThatItIsMeantFor)
+{
+    relay::relayed_order order;
+    order.target = {"w", "10.0.0.9:80", 7, 1};
+    order.order = jobs::start_order{};
+    EXPECT_EQ(relay::decodeOrder(relay::encodeOrder(order)).target.bornMs, 1);
+    const auto send = [&](std::uint32_t index, std::int64_t bornMs) {
+        order.number = index + 1;
+        order.target.bornMs = bornMs;
+        jobs::start_order started;
+        started.task = {jobId, 0, 0, index};
+        started.run = 1;
+        order.order = started;
+        wire::json message{{"owner", ownerAddress}, {"process", 5}, {"sentAt", 1}};
+        message["orders"] = wire::json::array({relay::encodeOrder(order)});
+        await(ownerPeers.call(relayAddress, relay::calls::orders, std::move(message),
+                              kernel::milliseconds(1000)));
+    };
+    send(0, 2);
+    send(1, 1);
+    ASSERT_TRUE(runUntil([&] { return !relayedWorkers.starts.empty(); }));
+    EXPECT_EQ(relayedWorkers.starts.size(), 1U);
+    EXPECT_EQ(relayedWorkers.starts.front().task, jobs::formatTask({jobId, 0, 0, 1}));
+}
+
 } // namespace
