--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -77,8 +77,8 @@
     milliseconds workersValidity{1900};
     //! The same for the list of workers and workersValidity.
     milliseconds workersWatchTime{800};
-    //! Time between two polls of a worker without responses that nothing is assigned to. It gets no new tasks
-    //! before it has responded.
+    //! Time between two polls of a worker without responses that nothing is assigned to. Once it counts as
+    //! unresponsive, it gets no new tasks before it has responded.
     milliseconds silentPollInterval{500};
     //! A reading of a worker's clock that is older than this is renewed by a poll.
     milliseconds clockValidity{15'000};
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -87,9 +87,9 @@
 //! Creates the session of \a worker. Leases of earlier owners may last until \a inheritedLeaseUntil.
 worker_session openSession(const worker_info &worker, time_point inheritedLeaseUntil);
 
-//! Continues \a session with the incarnation of the worker that was born at \a bornMs. The worker may have
-//! accepted start orders under any of its incarnations, since an order names only the worker. What is known
-//! about its runs is therefore kept, and the lists of runs of the new incarnation decide.
+//! Continues \a session with the incarnation of the worker that was born at \a bornMs. Orders
+//! without a response may be carried out by any of its incarnations. What is known about its runs is
+//! therefore kept, and the lists of runs of the new incarnation decide.
 void restartSession(worker_session &session, std::int64_t bornMs);
 //! Returns whether \a response is of another incarnation than \a session.
 bool isOtherIncarnation(const worker_session &session, const poll_response &response);
--- a/tests/unit/session_orders_test.cpp
+++ b/tests/unit/session_orders_test.cpp
@@ -141,8 +141,8 @@
     expectNoViolation(budget);
 }
 
-//! A lease by the clock of the earlier incarnation lasted longer at the next one than the owner counted, whose
-//! runs went on beside their successors.
+//! A lease by the clock of the earlier incarnation lasted longer at the next one than the owner counted,
+//! whose runs went on beside their successors.
 TEST(SessionOrders, RestartedWorkerWithEndedLeases)
 {
     event_budget budget;
