A later run keeps its resources when an earlier one turns out to be done

Cause, by reading: the end as done of a run that was taken for lost released the resources of the run that followed it, which was still at work, and the next start went over the worker's capacity (shortly after the cuts ended, on workers that had not been cut off).

Now such an end counts only while the task waits, and for a gang while no member is at work.

--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -180,21 +180,20 @@
 
 bool countsLate(const located_task &place, std::uint32_t run)
 {
-    if (!place.task || run == 0 || place.spec->longRunning || isFinal(place.jobState->status))
+    // A later run at work keeps its resources until it has ended.
+    const auto isAtWork = [](const task_state &member) { return member.phase == task_phase::assigned; };
+    if (place.task && place.spec->gang
+        && std::any_of(place.step->tasks.begin(), place.step->tasks.end(), isAtWork))
         return false;
-    const bool isWaiting = place.task->phase == task_phase::waiting && run <= place.task->run;
-    const bool isFollowed = place.task->phase == task_phase::assigned && run < place.task->run;
-    return isWaiting || isFollowed;
+    return place.task && place.task->phase == task_phase::waiting && run > 0 && run <= place.task->run
+        && !place.spec->longRunning && !isFinal(place.jobState->status);
 }
 
-//! Applies the end as done of a run that was counted as lost. A later run has nothing left to do.
+//! Applies the end as done of a run that was counted as lost.
 void applyLateDone(job_table &table, const located_task &place, const task_name &name)
 {
     if (place.spec->gang) {
         finishGang(table, place, name);
-    } else if (place.task->phase == task_phase::assigned) {
-        release(table, place, name);
-        finishTask(place);
     } else {
         --place.step->waiting;
         --place.jobState->waiting;
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -136,7 +136,7 @@
 //! Returns the run of \a name that is assigned to \a worker; 0 for none.
 std::uint32_t assignedRun(const job_table &table, std::string_view worker, const task_name &name);
 //! Returns whether the end of \a run as done still counts although the run is not assigned any more: it was
-//! taken for lost while its worker was silent. The task waits, or is assigned with a later run.
+//! taken for lost while its worker was silent, and the task waits.
 bool countsIfDone(const job_table &table, const task_name &name, std::uint32_t run);
 
 //! Returns records that assign all runs of the incarnation \a from to the incarnation \a to of the same
