--- a/src/fleet/owner_metrics.cpp
+++ b/src/fleet/owner_metrics.cpp
@@ -114,6 +114,21 @@
     metrics.limitsTooLow = &notInForce.Add({{"direction", "too_low"}});
 }
 
+void addOrderMetrics(prometheus::Registry &registry, owner_metrics &metrics)
+{
+    metrics.refusedStops = &prometheus::BuildCounter()
+                                .Name("almond_stops_refused_total")
+                                .Help("Orders to stop a run that the worker has refused.")
+                                .Register(registry)
+                                .Add({});
+    metrics.ordersForEarlier
+        = &prometheus::BuildCounter()
+               .Name("almond_orders_for_earlier_incarnation_total")
+               .Help("Starts, renewals and acknowledgements held back since the worker had restarted.")
+               .Register(registry)
+               .Add({});
+}
+
 } // namespace
 
 owner_metrics addOwnerMetrics(prometheus::Registry &registry, const jobs::wait_monitor_rules &rules)
@@ -175,17 +190,7 @@
                .Help("Regular polls that were sent while another one of the worker had no response.")
                .Register(registry)
                .Add({});
-    metrics.refusedStops = &prometheus::BuildCounter()
-                                .Name("almond_stops_refused_total")
-                                .Help("Orders to stop a run that the worker has refused.")
-                                .Register(registry)
-                                .Add({});
-    metrics.ordersForEarlier
-        = &prometheus::BuildCounter()
-               .Name("almond_orders_for_earlier_incarnation_total")
-               .Help("Starts, renewals and acknowledgements held back since the worker had restarted.")
-               .Register(registry)
-               .Add({});
+    addOrderMetrics(registry, metrics);
     addTargetMissMetrics(registry, metrics);
     addThrottleMetrics(registry, metrics);
     return metrics;
