--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import base64
+import bisect
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -36,10 +38,22 @@
     pass
 
 
+ports_taken = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A free port below the range from which outgoing connections get theirs."""
+    while True:
+        port = random.SystemRandom().randrange(10_000, 32_000)
+        if port in ports_taken:
+            continue
+        ports_taken.add(port)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
 
 
 class Record:
@@ -175,11 +189,13 @@
 class Store:
     """The platform's metadata store: items, leases, watches, transactions."""
 
-    PAGE = 500
+    PAGE_ITEMS = 500
+    PAGE_BYTES = 900_000
 
     def __init__(self, record):
         self.record = record
         self.items = {}
+        self.sorted_keys = None
         self.revision = 100
         self.history = []
         self.leases = {}
@@ -212,6 +228,8 @@
 
     def _set(self, revision, key, value, lease):
         old = self.items.get(key)
+        if not old:
+            self.sorted_keys = None
         item = {"key": key, "value": value, "revision": revision,
                 "created": old["created"] if old else revision, "lease": lease}
         self.items[key] = item
@@ -219,6 +237,7 @@
 
     def _remove(self, revision, key):
         if self.items.pop(key, None) is not None:
+            self.sorted_keys = None
             self._note({"key": key, "revision": revision, "removed": True})
 
     def put(self, key, value):
@@ -226,6 +245,14 @@
         self.revision += 1
         self._set(self.revision, key, base64.b64encode(json.dumps(value).encode()).decode(), 0)
 
+    def restore(self, items):
+        """Items that were written before the script began, in the order of their revisions."""
+        for key, value in items:
+            self.revision += 1
+            self.items[key] = {"key": key, "value": value, "revision": self.revision, "created": self.revision,
+                               "lease": 0}
+        self.sorted_keys = None
+
     def remove(self, key):
         self.revision += 1
         self._remove(self.revision, key)
@@ -267,10 +294,7 @@
             item = self.items.get(query["key"])
             return (200, {**item, "as_of": self.revision}) if item else (404, {"as_of": self.revision})
         if path == "/kv-range":
-            after = query.get("after", "")
-            keys = sorted(key for key in self.items if key.startswith(query["prefix"]) and key > after)
-            return 200, {"items": [self.items[key] for key in keys[:self.PAGE]],
-                         "has_more": len(keys) > self.PAGE, "as_of": self.revision}
+            return 200, self._page(query["prefix"], query.get("after", ""))
         if path == "/kv-lease":
             lease = self.next_lease
             self.next_lease += 1
@@ -289,6 +313,19 @@
             return self._transact(body)
         return 404, {}
 
+    def _page(self, prefix, after):
+        if self.sorted_keys is None:
+            self.sorted_keys = sorted(self.items)
+        place = max(bisect.bisect_left(self.sorted_keys, prefix), bisect.bisect_right(self.sorted_keys, after))
+        items, size = [], 0
+        while place < len(self.sorted_keys) and self.sorted_keys[place].startswith(prefix):
+            if len(items) == self.PAGE_ITEMS or size > self.PAGE_BYTES:
+                return {"items": items, "has_more": True, "as_of": self.revision}
+            items.append(self.items[self.sorted_keys[place]])
+            size += len(items[-1]["value"])
+            place += 1
+        return {"items": items, "has_more": False, "as_of": self.revision}
+
     def _transact(self, body):
         puts, removals = body.get("set_keys", []), body.get("remove", [])
         if any(key.startswith(("op/", "servers/")) for key in [put["key"] for put in puts] + removals):
@@ -590,6 +627,50 @@
             self.log.close()
 
 
+def resident_mb(process):
+    try:
+        with open(f"/proc/{process.pid}/status", encoding="ascii") as status:
+            for line in status:
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) / 1024
+    except OSError:
+        pass
+    return 0.0
+
+
+class MemoryLimit:
+    """The platform's limit: ends a process that exceeds its memory, and restarts it after a short delay."""
+
+    LIMIT_MB = 260  # limits.memory_mb of the machines of tichomer-ba
+    RESTART_DELAY_S = 1.0
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.ends = {node.name: 0 for node in deployment.nodes}
+        self.largest = 0.0
+        self.tasks = [asyncio.create_task(self._watch(node)) for node in deployment.nodes]
+
+    async def _watch(self, node):
+        while True:
+            await asyncio.sleep(0.01)
+            used = resident_mb(node.process)
+            self.largest = max(self.largest, used)
+            if used <= self.LIMIT_MB:
+                continue
+            node.signal(signal.SIGKILL)
+            await node.process.wait()
+            self.ends[node.name] += 1
+            self.deployment.record.add("memory-exceeded", node=node.name, used_mb=round(used, 1))
+            node.log.close()
+            await asyncio.sleep(self.RESTART_DELAY_S)
+            await node.start()
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
 class Deployment:
     """A small deployment of the site tichomer-ba: one service, three zones."""
 
