--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,6 +10,7 @@
 
 FREEZE_S = 4.0
 GIVE_UP_S = 0.4
+OTHER_CLIENTS = 4  # clients that stay: one of five leaves
 
 
 async def play(deployment, trouble):
@@ -22,6 +23,9 @@
         record.add("freeze", node=frozen.name, for_s=FREEZE_S)
         frozen.signal(signal.SIGSTOP)
     thaw_at = record.now() + FREEZE_S
+    others = [asyncio.create_task(deployment.submit(
+        (owner, other)[number % 2], standins.job_id(),
+        [{"count": 1, "cpu": 1000, "mem_mb": 1000, "estimate_ms": 500}], 0.5)) for number in range(OTHER_CLIENTS)]
     # The client leaves before its deadline, and cancels what it has handed in through another node.
     await deployment.request(frozen, "POST", job, body, timeout=GIVE_UP_S)
     acknowledged = None
@@ -36,6 +40,7 @@
         frozen.signal(signal.SIGCONT)
         record.add("thaw", node=frozen.name)
     await asyncio.sleep(8.0)
+    await asyncio.gather(*others)
     await deployment.request(other, "GET", job)
     late = [(at, task, run) for at, task, run in deployment.starts
             if task.startswith(job) and at > acknowledged + standins.CANCEL_S]
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -38,22 +38,34 @@
     pass
 
 
-ports_taken = set()
+FIRST_PORT, LAST_PORT, BLOCK = 26_000, 32_000, 100
+block_guard = None  # held as long as this script runs, so that scripts that run at once have ports of their own
+block_ports = iter(())
 
 
 def free_port():
     """A free port, outside the ranges of outgoing connections and of the project's soak and scenarios."""
-    while True:
-        port = random.SystemRandom().randrange(26_000, 32_000)
-        if port in ports_taken:
-            continue
-        ports_taken.add(port)
+    global block_guard, block_ports
+    if block_guard is None:
+        blocks = list(range(FIRST_PORT, LAST_PORT, BLOCK))
+        random.SystemRandom().shuffle(blocks)
+        for first in blocks:
+            block_guard = socket.socket()
+            try:
+                block_guard.bind(("127.0.0.1", first))
+            except OSError:
+                block_guard.close()
+                continue
+            block_ports = iter(range(first + 1, first + BLOCK))
+            break
+    for port in block_ports:
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
                 return port
             except OSError:
                 pass
+    raise CannotRun("no free ports")
 
 
 class Record:
