A cancelling that finds no job keeps its submission from being accepted

Cause: cancel() read the key of the accepted job as absent and wrote nothing, and the only condition of a submission is that its key is absent. An absent key is a fact about the present; 410 was given as one about the future. Ruled out: an owner that misses the cancellation (there is none in the store), and the freeze itself (a write that the store carries out late on a sound host does the same).

Change: the cancelling writes a tombstone under the job's key, on condition that the key is still absent, before it answers 410. The store judges the condition of each submission when the write is done, so it holds for frozen hosts, late writes, repeated requests, hosts of the version before and any owner. A submission that meets a tombstone gets 410 and isn't asked to come again. Tombstones go by a lease that those of a minute share; request_claims takes its lease from the same class. A cancelling that finds a job requires that the job's key is unchanged.

--- a/src/fleet/caller_service.cpp
+++ b/src/fleet/caller_service.cpp
@@ -28,8 +28,18 @@
 
 } // namespace
 
+std::string_view outcomeName(call_outcome outcome)
+{
+    static constexpr std::array<std::string_view, 7> names{
+        "ok",         "absent",   "refused: the store turned it away", "unknown: the store did not answer",
+        "overloaded", "outdated", "cancelled before it was accepted"};
+    return names.at(static_cast<std::size_t>(outcome));
+}
+
 caller_service::caller_service(caller_service_dependencies dependencies)
     : m_dependencies(std::move(dependencies))
+    , m_tombstoneLease(m_dependencies.store, m_dependencies.clock, m_dependencies.rules.tombstoneRetention,
+                       m_dependencies.rules.tombstonePeriod)
 {
 }
 
@@ -114,25 +124,43 @@
     co_return response;
 }
 
-//! Creates \a key; ok if it exists already. If a response is lost, creating it again shows whether the key
-//! exists.
-task<call_outcome> caller_service::createKey(std::string key, std::string value, milliseconds timeout)
+//! Creates the \a key of an accepted job. If it exists already, the outcome is that of storedOutcome(). If a
+//! response is lost, creating it again shows whether the key exists.
+task<call_outcome> caller_service::createKey(std::string key, std::string value, time_point deadline)
 {
-    const time_point deadline = m_dependencies.clock() + timeout - m_dependencies.rules.responseMargin;
     bool mayBeWritten = false;
     while (true) {
         const store_reply written = co_await m_dependencies.store.create(key, value, "");
-        if (written.status == store_status::ok || written.status == store_status::conflict)
+        if (written.status == store_status::ok)
             co_return call_outcome::ok;
-        mayBeWritten = mayBeWritten || written.status == store_status::unavailable;
-        if (!mayBeWritten)
+        call_outcome outcome = call_outcome::refused;
+        if (written.status == store_status::conflict)
+            outcome = co_await storedOutcome(key);
+        if (outcome == call_outcome::ok || outcome == call_outcome::cancelled)
+            co_return outcome;
+        mayBeWritten
+            = mayBeWritten || written.status == store_status::unavailable || outcome == call_outcome::unknown;
+        const bool isFree = outcome == call_outcome::absent;
+        if (!mayBeWritten && !isFree)
             co_return call_outcome::refused;
         if (m_dependencies.clock() + m_dependencies.rules.retryDelay >= deadline)
-            co_return call_outcome::unknown;
+            co_return mayBeWritten ? call_outcome::unknown : call_outcome::refused;
         co_await kernel::sleepFor(m_dependencies.rules.retryDelay);
     }
 }
 
+//! What the value of the existing \a key means for a caller that wanted to create it: ok for a job, cancelled
+//! for a tombstone. Absent if the key has been removed since, unknown without a response.
+task<call_outcome> caller_service::storedOutcome(std::string key)
+{
+    const store_reply stored = co_await m_dependencies.store.get(key);
+    if (stored.status == store_status::absent)
+        co_return call_outcome::absent;
+    if (stored.status != store_status::ok)
+        co_return call_outcome::unknown;
+    co_return jobs::isTombstone(stored.value) ? call_outcome::cancelled : call_outcome::ok;
+}
+
 //! Returns how long the tasks that \a arguments describe wait, as the owner knows it; nothing without
 //! its response.
 task<std::optional<jobs::wait_estimate>> caller_service::expectedWait(json arguments)
@@ -199,13 +227,12 @@
     accepted.acceptedAtMs = kernel::toMillis(m_dependencies.unixClock());
     const std::string key = job_key::accepted + accepted.id.str();
     const time_point startedAt = m_dependencies.clock();
-    const call_outcome outcome = co_await createKey(key, jobs::encodeJob(accepted).dump(), timeout);
-    static constexpr std::array outcomes{"accepted", "absent", "refused: the store turned it away",
-                                         "unknown: the store did not answer"};
+    const time_point deadline = startedAt + timeout - m_dependencies.rules.responseMargin;
+    const call_outcome outcome = co_await createKey(key, jobs::encodeJob(accepted).dump(), deadline);
     observe::log(outcome == call_outcome::ok ? log_level::info : log_level::warning, "job submitted",
                  {{"job", accepted.id},
                   {"queue", accepted.queue},
-                  {"outcome", outcomes.at(static_cast<std::size_t>(outcome))},
+                  {"outcome", outcomeName(outcome)},
                   {"tookMs", (m_dependencies.clock() - startedAt).count()}});
     const submit_result result{outcome, m_dependencies.rules.retryAfter};
     co_return result;
@@ -231,7 +258,8 @@
     while (m_dependencies.clock() < deadline) {
         const store_reply stored = co_await m_dependencies.store.get(job_key::accepted + id);
         if (stored.status == store_status::ok || stored.status == store_status::absent) {
-            result.outcome = stored.status == store_status::ok ? call_outcome::ok : call_outcome::absent;
+            const bool isJob = stored.status == store_status::ok && !jobs::isTombstone(stored.value);
+            result.outcome = isJob ? call_outcome::ok : call_outcome::absent;
             break;
         }
         if (stored.status == store_status::refused) {
@@ -244,27 +272,72 @@
         // Without the owner the status of the job is unknown.
         result.outcome = call_outcome::refused;
     }
-    observe::log(log_level::info, "status requested without a usable response of the owner",
-                 {{"job", id},
-                  {"ownerAnswered", response.has_value()},
-                  {"outcome", static_cast<int>(result.outcome)}});
+    observe::log(
+        log_level::info, "status requested without a usable response of the owner",
+        {{"job", id}, {"ownerAnswered", response.has_value()}, {"outcome", outcomeName(result.outcome)}});
     co_return result;
 }
 
 task<call_outcome> caller_service::cancel(std::string id, milliseconds timeout)
 {
-    const time_point deadline = m_dependencies.clock() + timeout;
-    const store_reply stored = co_await m_dependencies.store.get(job_key::accepted + id);
-    if (stored.status == store_status::absent)
-        co_return call_outcome::absent;
-    if (stored.status != store_status::ok)
-        co_return call_outcome::refused;
-    const call_outcome outcome
-        = co_await createKey(job_key::cancelled + id, "{}", deadline - m_dependencies.clock());
-    observe::log(log_level::info, "cancel requested", {{"job", id}, {"outcome", static_cast<int>(outcome)}});
+    const time_point deadline = m_dependencies.clock() + timeout - m_dependencies.rules.responseMargin;
+    const std::string key = job_key::accepted + id;
+    call_outcome outcome = call_outcome::refused;
+    while (true) {
+        const store_reply stored = co_await m_dependencies.store.get(key);
+        const bool exists = stored.status == store_status::ok;
+        const bool isJob = exists && !jobs::isTombstone(stored.value);
+        store_status written = store_status::refused;
+        if (isJob)
+            written = co_await writeCancellation(id, stored.revision);
+        else if (exists || stored.status == store_status::absent)
+            written = co_await writeTombstone(key, exists ? stored.revision : 0);
+        if (written == store_status::ok) {
+            outcome = isJob ? call_outcome::ok : call_outcome::absent;
+            break;
+        }
+        if (written == store_status::unavailable)
+            outcome = call_outcome::unknown;
+        const bool mayBeWritten = outcome == call_outcome::unknown;
+        if (written == store_status::refused && !mayBeWritten)
+            break;
+        if (m_dependencies.clock() + m_dependencies.rules.retryDelay >= deadline)
+            break;
+        co_await kernel::sleepFor(m_dependencies.rules.retryDelay);
+    }
+    observe::log(log_level::info, "cancel requested", {{"job", id}, {"outcome", outcomeName(outcome)}});
     co_return outcome;
 }
 
+//! Records that the job \a id, whose key has \a revision, shall be cancelled. Conflict if the job was
+//! removed.
+task<store_status> caller_service::writeCancellation(std::string id, std::int64_t revision)
+{
+    store::transaction change;
+    change.preconditions.push_back({job_key::accepted + id, revision});
+    change.puts.push_back({job_key::cancelled + id, "{}", ""});
+    const store_reply written = co_await m_dependencies.store.commit(change);
+    co_return written.status;
+}
+
+//! Writes a tombstone to \a key if that still has \a revision. Conflict if it has not, or if the lease for it
+//! has ended early: the caller may try again.
+task<store_status> caller_service::writeTombstone(std::string key, std::int64_t revision)
+{
+    const store_status leased = co_await m_tombstoneLease.ensure();
+    // Nothing has been written yet.
+    if (leased != store_status::ok)
+        co_return store_status::refused;
+    store::transaction change;
+    change.preconditions.push_back({key, revision});
+    change.puts.push_back({key, jobs::encodeTombstone(), m_tombstoneLease.id()});
+    const store_reply written = co_await m_dependencies.store.commit(change);
+    if (written.status != store_status::absent)
+        co_return written.status;
+    m_tombstoneLease.forget();
+    co_return store_status::conflict;
+}
+
 task<pending_result> caller_service::pending(std::string queue, milliseconds timeout)
 {
     pending_result result;
--- a/src/fleet/caller_service.h
+++ b/src/fleet/caller_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/job_owner.h"
+#include "store/retention_lease.h"
 #include "wire/peer_link.h"
 
 #include <cstdint>
@@ -8,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace almond::fleet {
 
@@ -23,9 +25,14 @@
     //! Not accepted: the job could not complete in time.
     overloaded,
     //! The owner can't tell: what it knows of the accepted jobs is too old.
-    outdated
+    outdated,
+    //! Not accepted: the job was cancelled before. It never runs.
+    cancelled
 };
 
+//! Name of \a outcome in logs.
+std::string_view outcomeName(call_outcome outcome);
+
 struct caller_rules
 {
     //! Time that one request may take if the caller gives no timeout.
@@ -44,6 +51,12 @@
     milliseconds waitValidity{300};
     //! How long the owner's count of waiting jobs is given out; callers may get one that is 2 s old.
     milliseconds pendingValidity{300};
+    //! Shortest time for which the store keeps a tombstone. Must exceed the time for which the submission of
+    //! a cancelled job can be under way: at a frozen host, as a late write to the store, or repeated by its
+    //! caller.
+    milliseconds tombstoneRetention{60'000};
+    //! Time for which tombstones share a lease.
+    milliseconds tombstonePeriod{60'000};
     jobs::admission_rules admission;
 };
 
@@ -100,14 +113,15 @@
     //! Registers the handlers of the calls that other processes send to the owner.
     void provideCalls();
     //! Stores \a accepted durably within \a timeout. Idempotent: submitting a job again returns ok and does
-    //! not create a second one. A job that could not complete in time is not accepted; while the owner
-    //! doesn't respond, every job is.
+    //! not create a second one. The outcome is cancelled if the job was cancelled before it was accepted. A
+    //! job that could not complete in time is not accepted; while the owner doesn't respond, every job is.
     kernel::task<submit_result> submit(jobs::job accepted, milliseconds timeout);
     //! Status of the job \a id from the owner. An accepted job that the owner does not know yet is queued. If
     //! the owner does not respond, the outcome is absent for a job that the store does not have, and refused
     //! for any other.
     kernel::task<status_result> status(std::string id, milliseconds timeout);
-    //! Records durably that the job \a id shall be cancelled.
+    //! Records durably that the job \a id shall be cancelled. If there is no such job, the outcome is absent,
+    //! and a submission of it that is still under way will not be accepted.
     kernel::task<call_outcome> cancel(std::string id, milliseconds timeout);
     //! Number of jobs of \a queue of which no task has started, as the owner knows it. Outdated if the owner
     //! may lack jobs that were accepted a while ago.
@@ -115,7 +129,10 @@
     const caller_counters &counters() const { return m_counters; }
 
 private:
-    kernel::task<call_outcome> createKey(std::string key, std::string value, milliseconds timeout);
+    kernel::task<call_outcome> createKey(std::string key, std::string value, time_point deadline);
+    kernel::task<call_outcome> storedOutcome(std::string key);
+    kernel::task<store::store_status> writeCancellation(std::string id, std::int64_t revision);
+    kernel::task<store::store_status> writeTombstone(std::string key, std::int64_t revision);
     kernel::task<std::optional<json>> askOwner(std::string method, json arguments, milliseconds timeout);
     kernel::task<std::optional<jobs::wait_estimate>> expectedWait(json arguments);
     kernel::task<std::optional<milliseconds>> rejectionOf(const jobs::job &candidate);
@@ -130,6 +147,7 @@
     };
 
     caller_service_dependencies m_dependencies;
+    store::retention_lease m_tombstoneLease;
     std::map<std::string, known_wait> m_waits; // by arguments of the question
     //! Waiting jobs as this process counted them as the owner. The count goes over all jobs that wait.
     job_counts m_pendingCounts;
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -32,6 +32,8 @@
 //! Keys of the jobs in the store.
 namespace job_key {
 inline constexpr const char *prefix = "almond/jobs/";
+//! A job by its id. If the job was cancelled before it was accepted, a tombstone is here for a while, so that
+//! no submission of it can be accepted any more.
 inline constexpr const char *accepted = "almond/jobs/accepted/";
 inline constexpr const char *cancelled = "almond/jobs/cancelled/";
 inline constexpr const char *journal = "almond/journal";
--- a/src/fleet/job_owner_load.cpp
+++ b/src/fleet/job_owner_load.cpp
@@ -118,6 +118,8 @@
             applyCancellation(*id);
         return;
     }
+    if (jobs::isTombstone(item.value))
+        return;
     try {
         jobs::job accepted = decodeAcceptedJob(item);
         // Recorded once for all jobs of the queue.
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -14,6 +14,9 @@
 constexpr std::array<std::string_view, 5> statusNames{"queued", "running", "completed", "failed",
                                                       "cancelled"};
 
+//! No job begins so, which tells the two apart without decoding them.
+constexpr std::string_view tombstoneStart = R"({"tombstone":)";
+
 template<typename T>
 void put(json &out, const char *key, const T &value)
 {
@@ -138,6 +141,16 @@
     return value;
 }
 
+std::string encodeTombstone()
+{
+    return std::string(tombstoneStart) + "true}";
+}
+
+bool isTombstone(std::string_view text)
+{
+    return text.starts_with(tombstoneStart);
+}
+
 std::string formatTask(const task_name &name)
 {
     return name.job.str() + '.' + std::to_string(name.occurrence) + '.' + std::to_string(name.step) + '.'
--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -16,6 +16,11 @@
 //! Inverse of encodeJob(). Throws nlohmann::json::exception for a malformed document.
 job decodeJob(const nlohmann::json &document);
 
+//! What the store keeps in place of a job that was cancelled before it was accepted.
+std::string encodeTombstone();
+//! Whether \a text is a tombstone; false for a job and for malformed text.
+bool isTombstone(std::string_view text);
+
 //! Formats a task name as JOB.OCCURRENCE.STEP.INDEX.
 std::string formatTask(const task_name &name);
 //! Inverse of formatTask(). Returns nothing for malformed text.
--- a/src/routing/request_claims.cpp
+++ b/src/routing/request_claims.cpp
@@ -13,7 +13,7 @@
 
 constexpr int claimAttempts = 3;
 constexpr kernel::milliseconds claimRetryDelay{50};
-constexpr kernel::milliseconds leaseRotationInterval{3'600'000};
+constexpr kernel::milliseconds leasePeriod{3'600'000};
 //! A response with a larger body is stored without the body.
 constexpr std::size_t storedBodyLimitBytes = 64UL * 1024;
 
@@ -45,34 +45,19 @@
 request_claims::request_claims(store::store_api store, std::string gateway, kernel::milliseconds retention)
     : m_store(std::move(store))
     , m_gateway(std::move(gateway))
-    , m_retention(retention)
+    , m_lease(m_store, kernel::systemNow, retention, leasePeriod)
 {
 }
 
-//! Makes sure that m_lease is valid for new claims. One lease holds the claims of an hour. It is never
-//! renewed, so that the claims expire after the retention time.
-task<bool> request_claims::ensureLease()
-{
-    const kernel::time_point now = kernel::systemNow();
-    if (!m_lease.empty() && now < m_nextLeaseAt)
-        co_return true;
-    const store_reply granted = co_await m_store.grantLease(m_retention + leaseRotationInterval);
-    if (granted.status != store_status::ok)
-        co_return false;
-    m_lease = granted.value;
-    m_nextLeaseAt = now + leaseRotationInterval;
-    co_return true;
-}
-
 task<claim_result> request_claims::claim(std::string service, std::string key, std::string request)
 {
-    const bool hasLease = co_await ensureLease();
-    if (!hasLease)
+    const store_status leased = co_await m_lease.ensure();
+    if (leased != store_status::ok)
         co_return claim_result{};
     const std::string storeKey = claimKey(service, key);
     const std::string value = json{{"gateway", m_gateway}, {"request", request}}.dump();
     for (int attempt = 0; attempt < claimAttempts; ++attempt) {
-        const store_reply written = co_await m_store.create(storeKey, value, m_lease);
+        const store_reply written = co_await m_store.create(storeKey, value, m_lease.id());
         if (written.status == store_status::ok)
             co_return claim_result{claim_status::claimed, {}, written.revision};
         // The key exists, or the response was lost. The value in the store decides.
--- a/src/routing/request_claims.h
+++ b/src/routing/request_claims.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "store/store_api.h"
+#include "store/retention_lease.h"
 
 #include <cstdint>
 #include <string>
@@ -50,13 +50,9 @@
     kernel::task<void> release(std::string service, std::string key);
 
 private:
-    kernel::task<bool> ensureLease();
-
     store::store_api m_store;
     std::string m_gateway;
-    kernel::milliseconds m_retention;
-    std::string m_lease;
-    kernel::time_point m_nextLeaseAt{};
+    store::retention_lease m_lease;
 };
 
 } // namespace almond::routing
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -20,7 +20,11 @@
     //! The call takes effect, but its response is lost.
     loseAnswer,
     //! The call has no effect and gets no response.
-    drop
+    drop,
+    //! The store rejects the call.
+    refuse,
+    //! The call gets no response and takes effect with carryOutLate().
+    late
 };
 
 //! A key-value store in memory that holds each call until the test releases it, so that a test can interleave
@@ -56,6 +60,15 @@
             return hold([this, key] { return standins::removeItem(state, key); });
         };
         api.range = [this](store::key_range range) { return holdRange(std::move(range)); };
+        api.commit = [this](store::transaction change) {
+            return hold([this, change] { return commitNow(change); });
+        };
+        api.grantLease = [this](kernel::milliseconds ttl) {
+            return hold([this, ttl] {
+                return store::store_reply{store::store_status::ok,
+                                          standins::grantLease(state, ttl, kernel::time_point{}), 0};
+            });
+        };
         return api;
     }
 
@@ -70,9 +83,34 @@
         call.complete(completion);
     }
 
+    //! Returns the number of calls that got no response and have not taken effect yet.
+    std::size_t late() const { return m_late.size(); }
+
+    //! Carries out the late call \a index, if its condition still holds.
+    void carryOutLate(std::size_t index)
+    {
+        const std::function<void()> effect = m_late[index];
+        m_late.erase(m_late.begin() + static_cast<std::ptrdiff_t>(index));
+        effect();
+    }
+
     standins::platform_state state;
 
 private:
+    store::store_reply commitNow(const store::transaction &change)
+    {
+        for (const store::key_precondition &expected : change.preconditions) {
+            if (standins::getItem(state, expected.key).revision != expected.revision)
+                return {store::store_status::conflict, {}, 0};
+        }
+        store::store_reply reply{store::store_status::ok, {}, 0};
+        for (const store::key_value &put : change.puts)
+            reply = standins::putItem(state, put.key, put.value, {}, put.lease);
+        for (const std::string &key : change.removals)
+            standins::removeItem(state, key);
+        return reply;
+    }
+
     struct held_call
     {
         std::function<void(call_completion)> complete;
@@ -83,11 +121,15 @@
     kernel::task<store::store_reply> hold(std::function<store::store_reply()> effect)
     {
         auto done = std::make_shared<kernel::completion<store::store_reply>>(m_context.get_executor());
-        m_held.push_back({[done, effect](call_completion completion) {
+        m_held.push_back({[this, done, effect](call_completion completion) {
             store::store_reply reply;
-            if (completion != call_completion::drop)
+            if (completion == call_completion::answer || completion == call_completion::loseAnswer)
                 reply = effect();
-            if (completion != call_completion::answer)
+            if (completion == call_completion::late)
+                m_late.emplace_back(effect);
+            if (completion == call_completion::refuse)
+                reply = {store::store_status::refused, {}, 0};
+            else if (completion != call_completion::answer)
                 reply = {store::store_status::unavailable, {}, 0};
             done->complete(std::move(reply));
         }});
@@ -112,6 +154,7 @@
 
     boost::asio::io_context &m_context;
     std::deque<held_call> m_held;
+    std::deque<std::function<void()>> m_late;
 };
 
 } // namespace almond::fakes
