The callers' port applies the configured limits on headers and bodies

Cause: max_body_bytes and max_header_bytes were decoded into the configuration and nothing read them; the port was open with the server's default of 16 MB, and a body of small steps becomes a tree of 50 times its size, which was copied once more.

Change: the limits of the server can change while it runs; a node sets them from the configuration in force, before the first one from the defaults. A request over them gets 413 or 431 before it is read whole.

--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -140,6 +140,7 @@
         }
         decoded->withdrawnDomains = m_config->withdrawnDomains;
         *next = std::move(*decoded);
+        m_callersServer->setMessageLimits(next->headerBytes, next->bodyBytes);
         if (m_platform.applyConfig)
             m_platform.applyConfig(*next);
         observe::log(log_level::info, "configuration applied",
@@ -209,6 +210,7 @@
     limits.connections = static_cast<std::size_t>(m_settings.connections);
     const http::handler handle = m_platform.makeCallersHandler(*m_callers, [this] { return m_config; });
     m_callersServer = std::make_unique<http::server>(*m_context, limits, handle);
+    m_callersServer->setMessageLimits(m_config->headerBytes, m_config->bodyBytes);
     m_callersServer->listen(m_settings.callersAddress);
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -9,6 +9,8 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace almond::http {
 
 namespace asio = boost::asio;
@@ -18,6 +20,10 @@
 
 namespace {
 
+//! Whatever is configured, requests with the usual headers are read, and one request can't fill the memory.
+constexpr std::uint32_t smallestHeaderLimitBytes = 1024;
+constexpr std::uint32_t largestHeaderLimitBytes = 1024 * 1024;
+constexpr std::uint64_t largestBodyLimitBytes = 16ULL * 1024 * 1024;
 constexpr kernel::milliseconds drainPollInterval{5};
 constexpr kernel::milliseconds acceptRetryInterval{50};
 //! How long a draining server waits for the first request of a connection.
@@ -73,6 +79,12 @@
     return m_acceptor.local_endpoint().port();
 }
 
+void server::setMessageLimits(std::uint32_t headerBytes, std::uint64_t bodyBytes)
+{
+    m_limits.headerBytes = std::clamp(headerBytes, smallestHeaderLimitBytes, largestHeaderLimitBytes);
+    m_limits.bodyBytes = std::min(bodyBytes, largestBodyLimitBytes);
+}
+
 task<void> server::acceptLoop()
 {
     while (m_acceptor.is_open()) {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -58,6 +58,9 @@
     void listen(const std::string &address);
     std::uint16_t port() const;
 
+    //! Limits the size of the requests that begin to arrive from now on.
+    void setMessageLimits(std::uint32_t headerBytes, std::uint64_t bodyBytes);
+
     //! Asks the clients, with each reply from now on, to close their connections. New connections are still
     //! accepted.
     void announceClosing();
--- a/tests/unit/node_requests_test.cpp
+++ b/tests/unit/node_requests_test.cpp
@@ -18,6 +18,7 @@
 
 constexpr const char *callersAddress = "127.0.0.1:23941";
 constexpr std::size_t answerSize = 1024UL * 1024;
+constexpr std::uint64_t smallBodyLimitBytes = 3000;
 
 daemon::node_settings nodeSettings()
 {
@@ -78,7 +79,12 @@
         binding.configKey = "op/config";
         binding.withdrawnPrefix = "op/withdrawn/";
         binding.workersPrefix = "workers/";
-        binding.decodeConfig = [](std::string_view) { return std::optional(tests::fleetConfig()); };
+        binding.decodeConfig = [](std::string_view text) {
+            jobs::fleet_config decoded = tests::fleetConfig();
+            decoded.bodyBytes = text == "{}" ? decoded.bodyBytes : smallBodyLimitBytes;
+            decoded.version = text == "{}" ? 1 : 2;
+            return std::optional(decoded);
+        };
         binding.decodeWorker = [](std::string_view id, std::string_view) {
             return std::optional(tests::worker(std::string(id)));
         };
@@ -112,6 +118,22 @@
         return reached();
     }
 
+    //! Status of the answer to a request with a body of \a size bytes.
+    http::status statusOfBody(std::uint64_t size)
+    {
+        http::connection_pool pool(context, {});
+        http::request request(boost::beast::http::verb::post, "/", 11);
+        request.set(boost::beast::http::field::host, callersAddress);
+        request.body() = std::string(size, '.');
+        std::optional<http::exchange_result> result;
+        boost::asio::co_spawn(
+            context, pool.exchange(callersAddress, std::move(request), milliseconds(5000)),
+            [&](const std::exception_ptr &, http::exchange_result got) { result = std::move(got); });
+        EXPECT_TRUE(runUntil([&result] { return result.has_value(); }));
+        return result && result->status == http::exchange_status::answered ? result->answer.result()
+                                                                           : http::status::unknown;
+    }
+
     //! Size of the answer to a request during which \a change happens.
     std::size_t answerAround(const std::function<void()> &change)
     {
@@ -131,6 +153,19 @@
     }
 };
 
+//! Guards against bodies over the limit of the configuration, which fill the memory of the process once they
+//! are decoded.
+TEST_F(node_requests_test, ABodyOverTheConfiguredLimitIsNotHandled)
+{
+    EXPECT_EQ(statusOfBody(jobs::fleet_config{}.bodyBytes + 1), http::status::payload_too_large);
+    EXPECT_EQ(statusOfBody(jobs::fleet_config{}.bodyBytes), http::status::ok);
+    store.put("op/config", "smaller");
+    context.restart();
+    context.run_for(milliseconds(100));
+    EXPECT_EQ(statusOfBody(smallBodyLimitBytes + 1), http::status::payload_too_large);
+    EXPECT_EQ(handled, 1);
+}
+
 //! Guards against an answer that is cut off by a graceful stop (SIGTERM), also of the owner, whose hand-over
 //! comes first.
 TEST_F(node_requests_test, ARequestIsAnsweredInWholeAroundAStop)
