A job of which no start was confirmed counts as waiting

Cause: the start orders have no response, and after the end of the lease the runs are recorded as lost; each end but "not started" counted as proof that the run had begun. Until then the run counted as begun since no start was under way any more.

Change: a lost run is recorded as not known to have begun if its worker has responded in this term and neither accepted nor listed it. Such an end leaves the job queued, and runs whose order had no response count as not begun. Earlier versions ignore the new member of the record.

--- a/src/fleet/job_owner_watch.cpp
+++ b/src/fleet/job_owner_watch.cpp
@@ -192,7 +192,7 @@
 
 job_counts job_owner::pendingJobCounts() const
 {
-    // Runs whose start is decided but not known to have begun.
+    // Assigned runs that are not known to have begun.
     std::map<jobs::job_id, std::uint32_t> undecided;
     for (const jobs::job_id &id : m_jobTable.jobsWithWaitingTasks)
         undecided.emplace_hint(undecided.end(), id, 0);
@@ -200,9 +200,17 @@
         const auto load = m_jobTable.loads.find(incarnation);
         if (load == m_jobTable.loads.end())
             continue;
-        for (const auto &[task, run] : worker->session.pendingStarts) {
-            const auto assigned = load->second.runs.find(task);
-            undecided[task.job] += assigned != load->second.runs.end() && assigned->second == run ? 1 : 0;
+        const jobs::worker_session &session = worker->session;
+        const auto isAssigned = [&runs = load->second.runs](const jobs::task_name &task, std::uint32_t run) {
+            const auto assigned = runs.find(task);
+            return assigned != runs.end() && assigned->second == run;
+        };
+        for (const auto &[task, run] : session.pendingStarts)
+            undecided[task.job] += isAssigned(task, run) ? 1 : 0;
+        for (const auto &[task, run] : session.unansweredStarts) {
+            if (!session.pendingStarts.contains(task) && isAssigned(task, run)
+                && !jobs::hasBegun(session, task, run))
+                ++undecided[task.job];
         }
     }
     job_counts counts;
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -211,9 +211,10 @@
 }
 
 //! A job of which no run has begun and no start is decided is queued again.
-void updateBegun(job_state &jobState, run_end end)
+void updateBegun(job_state &jobState, const journal_record &ended)
 {
-    jobState.hasBegun = jobState.hasBegun || end != run_end::notStarted;
+    const bool mayHaveBegun = ended.end != run_end::notStarted && !ended.startUnconfirmed;
+    jobState.hasBegun = jobState.hasBegun || mayHaveBegun;
     if (!jobState.hasBegun && jobState.assigned == 0 && jobState.status == job_status::running)
         jobState.status = job_status::queued;
 }
@@ -235,7 +236,7 @@
 {
     const located_task place = locate(table, record.task);
     if (record.end == run_end::done && countsLate(place, record.run)) {
-        updateBegun(*place.jobState, record.end);
+        updateBegun(*place.jobState, record);
         applyLateDone(table, place, record.task);
         return true;
     }
@@ -260,7 +261,7 @@
             ++place.jobState->waiting;
         }
     }
-    updateBegun(*place.jobState, record.end);
+    updateBegun(*place.jobState, record);
     updateWaiting(table, *place.jobState);
     return true;
 }
@@ -405,9 +406,13 @@
         return json::array({"started", formatTask(record.task), record.run, record.worker});
     case record_kind::moved:
         return json::array({"moved", formatTask(record.task), record.run, record.worker});
-    case record_kind::ended:
-        return json::array(
+    case record_kind::ended: {
+        json out = json::array(
             {"ended", formatTask(record.task), record.run, static_cast<int>(record.end), record.checkpoint});
+        if (record.startUnconfirmed)
+            out.push_back(true);
+        return out;
+    }
     case record_kind::leaseHandedOver:
         return json::array({"leaseHandedOver", record.worker, record.leaseLeft.count(), record.term});
     case record_kind::jobFailed:
@@ -445,6 +450,8 @@
     record.kind = record_kind::ended;
     record.end = static_cast<run_end>(in.at(3).get<int>());
     record.checkpoint = in.at(4);
+    // Earlier versions don't write this.
+    record.startUnconfirmed = in.size() > 5 && in.at(5).get<bool>();
     return record;
 }
 
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -52,7 +52,7 @@
     std::map<std::uint32_t, occurrence_state> occurrences;
     std::uint32_t occurrencesDone = 0;
     job_status status = job_status::queued;
-    //! A run of it has ended otherwise than as notStarted.
+    //! A run of it has ended that may have begun: neither as notStarted nor with startUnconfirmed.
     bool hasBegun = false;
     std::uint32_t waiting = 0;
     std::uint32_t assigned = 0;
@@ -102,6 +102,8 @@
     std::string worker;
     run_end end = run_end::done;
     std::string checkpoint;
+    //! For ended: the run is lost, and nothing has shown that it had begun.
+    bool startUnconfirmed = false;
     //! For leaseHandedOver: the owner's term, and the time after which all of the worker's leases have
     //! expired.
     std::uint64_t term = 0;
--- a/src/jobs/wait_monitor.cpp
+++ b/src/jobs/wait_monitor.cpp
@@ -29,16 +29,6 @@
     return left.task < right.task;
 }
 
-//! Returns whether \a run of \a task is known to have begun on \a session.
-bool hasBegun(const worker_session &session, const task_name &task, std::uint32_t run)
-{
-    const auto accepted = session.acceptedRuns.find(task);
-    if (accepted != session.acceptedRuns.end() && accepted->second.first == run)
-        return true;
-    return std::any_of(session.running.begin(), session.running.end(),
-                       [&](const running_report &row) { return row.task == task && row.run == run; });
-}
-
 //! Until when the runs on \a session are known to have run.
 time_point lastObservedAt(const worker_session &session, const fleet_view &view)
 {
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -29,6 +29,16 @@
     return {};
 }
 
+//! Makes the record of a run that is lost. \a wasFenced: the worker has responded in this term before. Until
+//! then it has only runs that an earlier owner started, of which nothing is known.
+journal_record makeLostRecord(const worker_session &session, const task_name &task, std::uint32_t run,
+                              bool wasFenced)
+{
+    journal_record record = makeEndRecord(task, run, run_end::lost, lastCheckpoint(session, task, run));
+    record.startUnconfirmed = wasFenced && !hasBegun(session, task, run);
+    return record;
+}
+
 //! Returns whether the worker must report the run if it has it. False while its start order was neither
 //! answered nor stopped when the poll was sent. A run that an earlier incarnation has accepted may be stopped
 //! at the present one, since another order for it had no response: then the stop counts as well.
@@ -104,6 +114,15 @@
     unanswered = std::max(unanswered, run);
 }
 
+bool hasBegun(const worker_session &session, const task_name &task, std::uint32_t run)
+{
+    const auto accepted = session.acceptedRuns.find(task);
+    if (accepted != session.acceptedRuns.end() && accepted->second.first == run)
+        return true;
+    return std::any_of(session.running.begin(), session.running.end(),
+                       [&](const running_report &row) { return row.task == task && row.run == run; });
+}
+
 worker_session openSession(const worker_info &worker, time_point inheritedLeaseUntil)
 {
     worker_session session;
@@ -232,7 +251,7 @@
     recordResponse(session, response.result, now);
     if (response.result.outcome != order_outcome::accepted)
         return records;
-    session.fenced = true;
+    const bool wasFenced = std::exchange(session.fenced, true);
     session.confirmed = true;
     session.endsAcknowledged = std::max(session.endsAcknowledged, acknowledged);
     const auto load = table.loads.find(session.incarnation);
@@ -259,8 +278,7 @@
     if (!response.moreEnded && load != table.loads.end()) {
         for (const auto &[task, run] : load->second.runs) {
             if (!isSeen(seen, task) && mustBeReported(session, task, run, sentAt))
-                records.push_back(
-                    makeEndRecord(task, run, run_end::lost, lastCheckpoint(session, task, run)));
+                records.push_back(makeLostRecord(session, task, run, wasFenced));
         }
     }
     for (const journal_record &record : records) {
@@ -284,7 +302,7 @@
     for (const auto &[task, run] : load->second.runs) {
         // The lease for a run whose start order has not been sent yet is granted with that order.
         if (session.dead || !session.pendingStarts.contains(task))
-            records.push_back(makeEndRecord(task, run, run_end::lost, lastCheckpoint(session, task, run)));
+            records.push_back(makeLostRecord(session, task, run, session.fenced));
     }
     return records;
 }
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -86,6 +86,9 @@
 //! after that shows whether the worker has it. Does nothing if a later run was stopped.
 void recordStartStopped(worker_session &session, const task_name &task, std::uint32_t run, time_point now);
 
+//! Returns whether \a run of \a task is known to have begun on \a session.
+bool hasBegun(const worker_session &session, const task_name &task, std::uint32_t run);
+
 //! Creates the session of \a worker. Leases of earlier owners may last until \a inheritedLeaseUntil.
 worker_session openSession(const worker_info &worker, time_point inheritedLeaseUntil);
 
