The members of a gang resume from one checkpoint

Cause: checkpoints were kept by task and sent by task. The stopped members report the newest one, the lost member has that of the last poll, so the members of the next run carry two values; a run that doesn't work brings no new one. Ruled out: the starts themselves, which go out in one decision and with one run number.

Change: a gang has one checkpoint, of its newest run, where a reported end takes precedence over the last poll of a lost worker.

--- a/src/fleet/job_owner_workers.cpp
+++ b/src/fleet/job_owner_workers.cpp
@@ -254,8 +254,7 @@
         order.payload = job->second.spec.payload;
         order.leaseEndMs = leaseEnd.value_or(0);
         order.notAfter = startPermissionEnd();
-        if (const jobs::task_state *state = jobs::findTask(m_jobTable, record.task))
-            order.checkpoint = state->checkpoint;
+        order.checkpoint = jobs::checkpointOf(m_jobTable, record.task);
         const order_response response = co_await m_dependencies.workers.start(attempt.sentTo, order);
         if (response.outcome == order_outcome::unknown) {
             attempt.mayHaveArrived = true;
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -131,6 +131,27 @@
         table.jobsWithWaitingTasks.erase(jobState.spec.id);
 }
 
+//! The members of one run are recorded one by one, and all resume from what was known at the first of them.
+void fixGangCheckpoint(gang_checkpoint &checkpoint, std::uint32_t run)
+{
+    if (run <= checkpoint.resumedRun)
+        return;
+    checkpoint.resumedRun = run;
+    checkpoint.resumed = checkpoint.newest;
+}
+
+void recordGangCheckpoint(gang_checkpoint &checkpoint, const journal_record &ended)
+{
+    const bool isFinal = ended.end != run_end::lost;
+    const bool isNewer
+        = ended.run > checkpoint.run || (ended.run == checkpoint.run && isFinal && !checkpoint.isFinal);
+    if (ended.checkpoint.empty() || !isNewer)
+        return;
+    checkpoint.newest = ended.checkpoint;
+    checkpoint.run = ended.run;
+    checkpoint.isFinal = isFinal;
+}
+
 bool applyStarted(job_table &table, const journal_record &record)
 {
     const auto jobEntry = table.jobs.find(record.task.job);
@@ -142,6 +163,8 @@
     place.task->phase = task_phase::assigned;
     place.task->run = record.run;
     place.task->worker = record.worker;
+    if (place.spec->gang)
+        fixGangCheckpoint(place.step->gangCheckpoint, record.run);
     --place.step->waiting;
     --place.jobState->waiting;
     ++place.jobState->assigned;
@@ -190,6 +213,7 @@
         }
         finishTask(other);
     }
+    place.step->gangCheckpoint = {};
 }
 
 //! Several members of one run may fail; the failure of the gang counts once per run.
@@ -255,7 +279,9 @@
             if (record.end == run_end::failed && place.spec->gang)
                 recordGangFailure(*place.step, record.run);
             place.task->interrupted = place.task->interrupted || record.end != run_end::notStarted;
-            if (!record.checkpoint.empty())
+            if (place.spec->gang)
+                recordGangCheckpoint(place.step->gangCheckpoint, record);
+            else if (!record.checkpoint.empty())
                 place.task->checkpoint = record.checkpoint;
             ++place.step->waiting;
             ++place.jobState->waiting;
@@ -369,6 +395,14 @@
     return locate(const_cast<job_table &>(table), name).spec;
 }
 
+std::string checkpointOf(const job_table &table, const task_name &name)
+{
+    const located_task place = locate(const_cast<job_table &>(table), name);
+    if (!place.task)
+        return {};
+    return place.spec->gang ? place.step->gangCheckpoint.resumed : place.task->checkpoint;
+}
+
 std::uint32_t assignedRun(const job_table &table, std::string_view worker, const task_name &name)
 {
     const auto load = table.loads.find(worker);
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -29,6 +29,19 @@
     std::string checkpoint;
 };
 
+//! The checkpoint of a gang, which all members of a run must resume from. That of any member is valid for
+//! all.
+struct gang_checkpoint
+{
+    std::string newest;
+    //! The run that reported it, and whether a member reported it at its end: that of a lost member is older.
+    std::uint32_t run = 0;
+    bool isFinal = false;
+    //! What the members of the newest run resume from.
+    std::string resumed;
+    std::uint32_t resumedRun = 0;
+};
+
 struct step_state
 {
     std::vector<task_state> tasks;
@@ -37,6 +50,7 @@
     //! Number of runs of a gang in which at least one member failed, and the newest such run.
     std::uint32_t failedRuns = 0;
     std::uint32_t lastFailedRun = 0;
+    gang_checkpoint gangCheckpoint;
 };
 
 //! State of one execution of all steps of a job.
@@ -148,6 +162,8 @@
 //! Returns the state of the task; null if the table has no such task.
 const task_state *findTask(const job_table &table, const task_name &name);
 const step_spec *findStep(const job_table &table, const task_name &name);
+//! Returns the checkpoint that the newest run of \a name resumes from; empty if it begins anew.
+std::string checkpointOf(const job_table &table, const task_name &name);
 //! Returns the run of \a name that is assigned to \a worker; 0 for none.
 std::uint32_t assignedRun(const job_table &table, std::string_view worker, const task_name &name);
 //! Returns whether the end of \a run as done still counts although the run is not assigned any more: it was
--- a/tests/unit/gang_failures_test.cpp
+++ b/tests/unit/gang_failures_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-//! Counting the failures of a gang.
+//! Failures and checkpoints of a gang.
 namespace {
 
 using namespace almond;
@@ -48,4 +48,81 @@
     EXPECT_EQ(jobs::jobsOutOfAttempts(table, tests::fleetConfig(), touched).size(), 1U);
 }
 
+class gang_checkpoint_test : public testing::Test
+{
+protected:
+    static constexpr std::uint32_t members = 4;
+    jobs::job_table table;
+
+    void SetUp() override
+    {
+        auto gang = tests::step(members, 1000);
+        gang.gang = true;
+        gang.checkpointing = true;
+        jobs::addJob(table, tests::makeJob(tests::onlyJob, {gang}));
+    }
+
+    static jobs::task_name member(std::uint32_t index) { return {tests::onlyJob, 0, 0, index}; }
+
+    void startAll(std::uint32_t run)
+    {
+        for (std::uint32_t index = 0; index < members; ++index)
+            ASSERT_TRUE(jobs::apply(table, tests::started(member(index), run, "w" + std::to_string(index))));
+    }
+
+    void end(std::uint32_t index, std::uint32_t run, jobs::run_end how, const std::string &checkpoint)
+    {
+        jobs::journal_record record = tests::ended(member(index), run, how);
+        record.checkpoint = checkpoint;
+        ASSERT_TRUE(jobs::apply(table, record));
+    }
+
+    void expectAllResumeFrom(const std::string &checkpoint)
+    {
+        for (std::uint32_t index = 0; index < members; ++index)
+            EXPECT_EQ(jobs::checkpointOf(table, member(index)), checkpoint) << index;
+    }
+};
+
+//! Guards against a gang whose members carry different checkpoints after one of them was lost: none of its
+//! runs works, and the job never completes (GANG).
+TEST_F(gang_checkpoint_test, MembersResumeFromTheNewestCheckpointAfterALoss)
+{
+    startAll(1);
+    for (std::uint32_t index = 1; index < members; ++index)
+        end(index, 1, jobs::run_end::stopped, "newest");
+    end(0, 1, jobs::run_end::lost, "older");
+    startAll(2);
+    expectAllResumeFrom("newest");
+    // A run that didn't work reports what it began with.
+    for (std::uint32_t index = 0; index < members; ++index)
+        end(index, 2, jobs::run_end::stopped, "newest");
+    startAll(3);
+    expectAllResumeFrom("newest");
+}
+
+//! The same where the loss is recorded first.
+TEST_F(gang_checkpoint_test, CheckpointOfALostMemberGivesWay)
+{
+    startAll(1);
+    end(0, 1, jobs::run_end::lost, "older");
+    end(1, 1, jobs::run_end::stopped, "newest");
+    end(2, 1, jobs::run_end::stopped, "newest");
+    end(3, 1, jobs::run_end::lost, "older");
+    startAll(2);
+    expectAllResumeFrom("newest");
+}
+
+//! Guards against members of one run that are sent different checkpoints since one of them ends while the
+//! start orders of others are repeated.
+TEST_F(gang_checkpoint_test, CheckpointOfARunIsFixedWhenItIsPlanned)
+{
+    startAll(1);
+    for (std::uint32_t index = 0; index < members; ++index)
+        end(index, 1, jobs::run_end::stopped, "first");
+    startAll(2);
+    end(0, 2, jobs::run_end::stopped, "second");
+    expectAllResumeFrom("first");
+}
+
 } // namespace
