--- a/src/daemon/node_daemon.cpp
+++ b/src/daemon/node_daemon.cpp
@@ -319,6 +319,7 @@
     dependencies.rules.sessions.lease = m_settings.workerLease;
     dependencies.rules.harmBound = m_settings.harmBound;
     dependencies.rules.sessions.formerOwnerRenewals = m_election.detachedLimit;
+    dependencies.rules.endedRetention = fleet::endedRetention(m_settings.statusRetention);
     m_owner = std::make_shared<fleet::job_owner>(*m_context, std::move(dependencies), *won);
     m_workerKeys = watchWorkerKeys(m_owner);
     kernel::spawn(m_context->get_executor(), loadAndStartOwner(m_owner));
--- a/src/daemon/node_settings.cpp
+++ b/src/daemon/node_settings.cpp
@@ -22,6 +22,8 @@
     value.storeTimeout = milliseconds(reader.integer("storeTimeoutMs", 1000, timeRange));
     value.workerLease = milliseconds(reader.integer("workerLeaseMs", 5400, timeRange));
     value.harmBound = milliseconds(reader.integer("harmBoundMs", 4000, integer_range{1, 60'000}));
+    value.statusRetention
+        = std::chrono::seconds(reader.integer("statusRetentionS", 120, integer_range{1, 7LL * 24 * 3600}));
     value.stopGrace = milliseconds(reader.integer("stopGraceMs", 6000, timeRange));
     value.connections = reader.integer("connections", 3000, integer_range{1, 1'000'000});
     value.processorShare = reader.share("processorShare", 1.0);
--- a/src/daemon/node_settings.h
+++ b/src/daemon/node_settings.h
@@ -28,6 +28,8 @@
     kernel::milliseconds workerLease{0};
     //! How long a serving task may miss its tail-latency target because of best-effort tasks beside it.
     kernel::milliseconds harmBound{0};
+    //! How long callers can ask for the status of an ended job.
+    kernel::milliseconds statusRetention{0};
     //! Time that the platform leaves a process between the stop signal and the kill.
     kernel::milliseconds stopGrace{0};
     //! Maximum number of open connections from callers.
--- a/src/fleet/job_owner.cpp
+++ b/src/fleet/job_owner.cpp
@@ -326,6 +326,7 @@
             m_journalIndex = entry.index;
             ++m_counters.commits;
             m_counters.records += next.records.size();
+            m_journalSize.records += next.records.size();
             co_return true;
         }
         if (result.existing && result.existing->writer.empty() && !m_resigned) {
@@ -392,6 +393,7 @@
         queueRecords(std::move(expired));
     }
     m_workers.removeUnused([this](const managed_worker &worker) { return isUnused(worker); });
+    removeEndedIfDue(now);
     suspendBetweenPolls(now);
     pollOverdueWorkers(now);
     scanWaiting(now);
@@ -488,7 +490,10 @@
             {"startsHeld", m_counters.startsHeld},
             {"startsGivenUp", m_counters.startsRefused},
             {"looks", m_counters.polls},
-            {"commits", m_counters.commits}};
+            {"commits", m_counters.commits},
+            {"journalRecords", m_journalSize.records},
+            {"endedJobs", m_ended.kept.size()},
+            {"jobsRemoved", m_counters.jobsRemoved}};
 }
 
 } // namespace almond::fleet
--- a/src/fleet/job_owner.h
+++ b/src/fleet/job_owner.h
@@ -4,6 +4,7 @@
 #include "fleet/owner_metrics.h"
 #include "fleet/worker_registry.h"
 #include "jobs/admission.h"
+#include "jobs/ended_jobs.h"
 #include "jobs/interference.h"
 #include "jobs/job_timing.h"
 #include "jobs/miss_monitor.h"
@@ -103,12 +104,30 @@
     milliseconds loadValidity{10'000};
     //! How long a serving task may miss its tail-latency target because of best-effort tasks.
     milliseconds harmBound{4000};
+    //! How long an ended job is kept: callers ask for its status, and requests about it may still be under
+    //! way.
+    milliseconds endedRetention{150'000};
+    //! Ended jobs whose keys one write removes; with the fence they must fit into one transaction.
+    std::size_t removalsPerWrite = 15;
+    //! Time between two such writes.
+    milliseconds removalPause{200};
+    //! Time until a failed removal or compaction is tried again.
+    milliseconds removalRetryDelay{5000};
+    //! How long a page of a listing may be under way that still contains a removed key.
+    milliseconds listingTime{60'000};
+    //! The journal is compacted once this many of its records, and at least half of all, belong to removed
+    //! jobs.
+    std::size_t smallestCompaction = 2000;
     jobs::poll_rules polls;
     jobs::session_rules sessions;
     jobs::evaluation_rules evaluation;
     jobs::admission_rules admission;
 };
 
+//! How long ended jobs are kept so that callers can ask for their status for \a statusRetention, and late
+//! requests about them find that they are over.
+milliseconds endedRetention(milliseconds statusRetention);
+
 //! Time from one commit to the next if planning took \a planning.
 milliseconds commitIntervalAfter(const owner_rules &rules, milliseconds planning);
 
@@ -153,6 +172,8 @@
     std::uint64_t extraPolls = 0;
     std::uint64_t stops = 0;
     std::uint64_t throttleOrders = 0;
+    std::uint64_t jobsRemoved = 0;
+    std::uint64_t journalRecordsRemoved = 0;
 };
 
 //! Manages all jobs for one term: keeps the job table, commits its records to the journal, plans, and sends
@@ -234,6 +255,20 @@
         jobs::poll_order order;
         bool isExtra = false;
     };
+    //! Records of the journal.
+    struct journal_size
+    {
+        std::size_t entriesRead = 0;
+        std::size_t records = 0;
+        //! Of them, those that concern no present job.
+        std::size_t obsolete = 0;
+    };
+    struct removed_job
+    {
+        time_point at{};
+        //! Of the store when the keys were removed. A listing may still show an earlier state.
+        std::int64_t revision = 0;
+    };
     using self_ptr = std::shared_ptr<job_owner>;
     struct batch
     {
@@ -273,9 +308,18 @@
     void countOrderForEarlier() const;
 
     kernel::task<bool> readJournal();
-    std::size_t applyEntry(const store::journal_entry &entry);
+    void applyEntry(const store::journal_entry &entry);
     void applyJobKey(const store::stored_item &item);
+    void applyAcceptedJob(const store::stored_item &item);
     void applyCancellation(const jobs::job_id &id);
+    void removeEndedIfDue(time_point now);
+    kernel::task<void> removeEnded(self_ptr self);
+    kernel::task<bool> removeOldestJobs();
+    store::transaction removalOf(std::span<const jobs::job_id> ended,
+                                 std::span<const jobs::job_id> cancelled) const;
+    kernel::task<bool> compactJournal();
+    bool isCompactionDue() const;
+    bool isRemoved(const jobs::job_id &id, std::int64_t revision) const;
     batch prepareBatch(time_point now);
     //! The current configuration plus the removed queues that still have accepted jobs.
     jobs::fleet_config_ptr effectiveConfig();
@@ -385,10 +429,16 @@
     confirmed_ages m_longestAges{};
     //! Index of the last journal entry that an owner wrote.
     std::uint64_t m_journalIndex = 0;
-    //! Entries that load() has read so far.
-    std::vector<store::journal_entry> m_unappliedEntries;
     std::uint64_t m_submissionNumber = 0;
+    journal_size m_journalSize;
     std::set<jobs::job_id> m_cancelled;
+    jobs::ended_jobs m_ended;
+    //! Jobs whose keys were removed lately.
+    std::map<jobs::job_id, removed_job> m_removed;
+    //! Jobs whose keys can't be decoded. Another version may know them.
+    std::set<jobs::job_id> m_undecoded;
+    bool m_isRemoving = false;
+    time_point m_removalRetryAt{};
     std::vector<jobs::journal_record> m_queuedRecords;
     //! Tasks whose number of failures an earlier owner may not have compared with the permitted attempts.
     std::vector<jobs::task_name> m_failedTasks;
--- a/src/fleet/job_owner_load.cpp
+++ b/src/fleet/job_owner_load.cpp
@@ -49,76 +49,89 @@
     }(m_jobKeys));
 }
 
+//! Lists the jobs, then applies the journal to them as it is read: a job that has ended by its records
+//! releases its tasks before the next page comes.
 task<bool> job_owner::load()
 {
-    // Read sequentially: over a slow link, pages that are read in parallel exceed the client's timeout.
-    const bool journalComplete = co_await readJournal();
-    if (!journalComplete)
-        co_return false;
-    const milliseconds journalRead = m_dependencies.clock() - m_termStart;
-    co_await loadPairs();
     if (!m_jobKeys)
         watchJobKeys();
+    // Not beside the journal: over a slow link, pages that are read in parallel exceed the client's timeout.
     while (!m_jobKeys->isListed() && !m_resigned)
         co_await m_commitSignal.wait(m_dependencies.rules.tickInterval);
-    const std::vector<store::journal_entry> entries = std::exchange(m_unappliedEntries, {});
-    std::size_t skipped = 0;
-    for (const store::journal_entry &entry : entries)
-        skipped += applyEntry(entry);
+    if (m_resigned)
+        co_return false;
+    const milliseconds jobsListed = m_dependencies.clock() - m_termStart;
+    const bool journalComplete = co_await readJournal();
+    if (!journalComplete)
+        co_return false;
+    co_await loadPairs();
     m_loaded = true;
     if (m_dependencies.metrics)
         recordLoadTime(*m_dependencies.metrics, m_dependencies.clock() - m_termStart);
-    for (const jobs::job_id &id : m_cancelled)
+    for (const jobs::job_id &id : m_cancelled) {
+        if (!m_jobTable.jobs.contains(id))
+            jobs::keepUnknown(m_ended, id, m_dependencies.clock());
         jobs::cancelJob(m_jobTable, id);
+    }
     observe::log(log_level::info, "jobs loaded",
                  {{"term", m_term.term},
-                  {"journalReadMs", journalRead.count()},
-                  {"entries", entries.size()},
+                  {"jobsListedMs", jobsListed.count()},
+                  {"entries", m_journalSize.entriesRead},
                   {"jobs", m_jobTable.jobs.size()},
-                  {"skippedRecords", skipped},
+                  {"records", m_journalSize.records},
+                  {"skippedRecords", m_journalSize.obsolete},
                   {"tookMs", (m_dependencies.clock() - m_termStart).count()}});
     co_return !m_resigned;
 }
 
-//! Reads the part of the journal that was not read before: pages read before a store outage are kept.
+//! Reads and applies the part of the journal that was not read before: pages read before a store outage are
+//! kept.
 task<bool> job_owner::readJournal()
 {
-    store::journal_entries part
-        = co_await store::readJournalEntries(m_dependencies.store, job_key::journal, m_journalIndex);
-    for (store::journal_entry &entry : part.entries) {
-        // Only an entry of this system counts: the next one is written behind it.
-        if (!entry.writer.empty())
-            m_journalIndex = entry.index;
-        m_unappliedEntries.push_back(std::move(entry));
-    }
-    co_return part.status == store::store_status::ok;
+    const store::store_status status
+        = co_await store::visitJournal(m_dependencies.store, job_key::journal, m_journalIndex,
+                                       [this](const store::journal_entry &entry) { applyEntry(entry); });
+    co_return status == store::store_status::ok;
 }
 
-//! Applies the records of \a entry to the job table and returns how many of them had no effect.
-std::size_t job_owner::applyEntry(const store::journal_entry &entry)
+//! Applies the records of \a entry to the job table.
+void job_owner::applyEntry(const store::journal_entry &entry)
 {
-    std::size_t skipped = 0;
+    // Only an entry of this system counts: the next one is written behind it.
+    if (!entry.writer.empty())
+        m_journalIndex = entry.index;
+    ++m_journalSize.entriesRead;
+    m_journalSize.records += entry.body.size();
     for (const json &record : entry.body) {
         try {
-            skipped += jobs::apply(m_jobTable, jobs::decodeRecord(record)) ? 0 : 1;
+            m_journalSize.obsolete += jobs::apply(m_jobTable, jobs::decodeRecord(record)) ? 0 : 1;
         } catch (const std::exception &error) {
-            ++skipped;
             observe::logLimited(log_level::error, "malformed record in the journal ignored",
                                 {{"index", entry.index}, {"error", error.what()}}, m_dependencies.clock());
         }
     }
-    return skipped;
+    jobs::updateEndedJobs(m_ended, m_jobTable, {}, m_dependencies.clock());
 }
 
 void job_owner::applyJobKey(const store::stored_item &item)
 {
-    if (item.key.starts_with(job_key::cancelled)) {
-        // A key that is too long names no job.
-        if (const auto id = jobs::job_id::from(item.key.substr(std::string_view(job_key::cancelled).size())))
-            applyCancellation(*id);
+    if (!item.key.starts_with(job_key::cancelled)) {
+        applyAcceptedJob(item);
         return;
     }
-    if (jobs::isTombstone(item.value))
+    // A key that is too long names no job.
+    const auto id = jobs::job_id::from(item.key.substr(std::string_view(job_key::cancelled).size()));
+    if (id && !isRemoved(*id, item.revision))
+        applyCancellation(*id);
+}
+
+void job_owner::applyAcceptedJob(const store::stored_item &item)
+{
+    const bool isAccepted = item.key.starts_with(job_key::accepted);
+    const auto id = isAccepted
+        ? jobs::job_id::from(item.key.substr(std::string_view(job_key::accepted).size()))
+        : std::nullopt;
+    if (jobs::isTombstone(item.value) || (id && isRemoved(*id, item.revision)))
         return;
     try {
         jobs::job accepted = decodeAcceptedJob(item);
@@ -131,6 +144,8 @@
         if (m_loaded && m_cancelled.contains(accepted.id))
             jobs::cancelJob(m_jobTable, accepted.id);
     } catch (const std::exception &error) {
+        if (id)
+            m_undecoded.insert(*id);
         observe::logLimited(log_level::error, "failed to decode an accepted job",
                             {{"key", item.key}, {"error", error.what()}}, m_dependencies.clock());
         return;
@@ -143,6 +158,8 @@
 {
     if (!m_cancelled.insert(id).second || !m_loaded)
         return;
+    if (!m_jobTable.jobs.contains(id))
+        jobs::keepUnknown(m_ended, id, m_dependencies.clock());
     const bool cancelled = jobs::cancelJob(m_jobTable, id);
     jobs::takeEndedTimings(m_timings, m_jobTable, id);
     observe::log(log_level::info, "job cancelled", {{"job", id}, {"wasOpen", cancelled}});
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -23,7 +23,9 @@
 
 void openOccurrence(job_table &table, job_state &jobState, std::uint32_t number)
 {
-    if (number >= occurrenceCount(jobState.spec) || jobState.occurrences.contains(number))
+    // An ended job may have released its tasks.
+    if (number >= occurrenceCount(jobState.spec) || jobState.occurrences.contains(number)
+        || jobState.spec.steps.empty())
         return;
     occurrence_state &opened = jobState.occurrences[number];
     opened.steps.resize(jobState.spec.steps.size());
@@ -176,7 +178,7 @@
     return true;
 }
 
-void finishTask(const located_task &place)
+void finishTask(job_table &table, const located_task &place)
 {
     place.task->phase = task_phase::done;
     place.task->checkpoint.clear();
@@ -184,9 +186,11 @@
         return;
     if (++place.occurrence->stepsDone < place.occurrence->steps.size())
         return;
-    if (++place.jobState->occurrencesDone == occurrenceCount(place.jobState->spec)
-        && !isFinal(place.jobState->status))
-        place.jobState->status = job_status::completed;
+    if (++place.jobState->occurrencesDone < occurrenceCount(place.jobState->spec)
+        || isFinal(place.jobState->status))
+        return;
+    place.jobState->status = job_status::completed;
+    table.newlyEnded.push_back(place.jobState->spec.id);
 }
 
 void release(job_table &table, const located_task &place, const task_name &name)
@@ -211,7 +215,7 @@
             --other.step->waiting;
             --other.jobState->waiting;
         }
-        finishTask(other);
+        finishTask(table, other);
     }
     place.step->gangCheckpoint = {};
 }
@@ -251,7 +255,7 @@
     } else {
         --place.step->waiting;
         --place.jobState->waiting;
-        finishTask(place);
+        finishTask(table, place);
     }
     updateWaiting(table, *place.jobState);
 }
@@ -272,7 +276,7 @@
     } else {
         release(table, place, record.task);
         if (finished) {
-            finishTask(place);
+            finishTask(table, place);
         } else {
             place.task->phase = task_phase::waiting;
             place.task->failures += record.end == run_end::failed ? 1 : 0;
@@ -309,11 +313,30 @@
     if (found == table.jobs.end() || isFinal(found->second.status))
         return false;
     found->second.status = status;
+    table.newlyEnded.push_back(id);
     std::erase_if(table.timers, [&id](const auto &timer) { return timer.second == id; });
     updateWaiting(table, found->second);
     return true;
 }
 
+bool applyByKind(job_table &table, const journal_record &record)
+{
+    switch (record.kind) {
+    case record_kind::started:
+        return applyStarted(table, record);
+    case record_kind::ended:
+        return applyEnded(table, record);
+    case record_kind::jobFailed:
+        return endJob(table, record.task.job, job_status::failed);
+    case record_kind::leaseHandedOver:
+        table.handedLeases[record.worker] = {record.term, record.leaseLeft};
+        return true;
+    case record_kind::moved:
+        return applyMoved(table, record);
+    }
+    return false;
+}
+
 } // namespace
 
 bool isFinal(job_status status)
@@ -359,22 +382,35 @@
     return endJob(table, id, job_status::cancelled);
 }
 
+std::size_t removeJob(job_table &table, const job_id &id)
+{
+    const auto found = table.jobs.find(id);
+    if (found == table.jobs.end())
+        return 0;
+    const std::size_t records = found->second.records;
+    std::erase_if(table.timers, [&id](const auto &timer) { return timer.second == id; });
+    table.jobsWithWaitingTasks.erase(id);
+    table.jobs.erase(found);
+    return records;
+}
+
+void releaseTasks(job_table &table, const job_id &id)
+{
+    const auto found = table.jobs.find(id);
+    if (found == table.jobs.end())
+        return;
+    found->second.occurrences.clear();
+    std::vector<step_spec>().swap(found->second.spec.steps);
+    std::string().swap(found->second.spec.payload);
+}
+
 bool apply(job_table &table, const journal_record &record)
 {
-    switch (record.kind) {
-    case record_kind::started:
-        return applyStarted(table, record);
-    case record_kind::ended:
-        return applyEnded(table, record);
-    case record_kind::jobFailed:
-        return endJob(table, record.task.job, job_status::failed);
-    case record_kind::leaseHandedOver:
-        table.handedLeases[record.worker] = {record.term, record.leaseLeft};
-        return true;
-    case record_kind::moved:
-        return applyMoved(table, record);
-    }
-    return false;
+    const bool applied = applyByKind(table, record);
+    const auto job = applied ? table.jobs.find(record.task.job) : table.jobs.end();
+    if (job != table.jobs.end())
+        ++job->second.records;
+    return applied;
 }
 
 bool isReady(const job_state &jobState, const occurrence_state &occurrence, std::uint32_t step)
@@ -433,60 +469,4 @@
     return records;
 }
 
-json encodeRecord(const journal_record &record)
-{
-    switch (record.kind) {
-    case record_kind::started:
-        return json::array({"started", formatTask(record.task), record.run, record.worker});
-    case record_kind::moved:
-        return json::array({"moved", formatTask(record.task), record.run, record.worker});
-    case record_kind::ended: {
-        json out = json::array(
-            {"ended", formatTask(record.task), record.run, static_cast<int>(record.end), record.checkpoint});
-        if (record.startUnconfirmed)
-            out.push_back(true);
-        return out;
-    }
-    case record_kind::leaseHandedOver:
-        return json::array({"leaseHandedOver", record.worker, record.leaseLeft.count(), record.term});
-    case record_kind::jobFailed:
-        break;
-    }
-    return json::array({"gaveUp", record.task.job});
-}
-
-journal_record decodeRecord(const json &in)
-{
-    journal_record record;
-    const std::string kind = in.at(0);
-    if (kind == "gaveUp") {
-        record.kind = record_kind::jobFailed;
-        record.task.job = in.at(1);
-        return record;
-    }
-    if (kind == "leaseHandedOver") {
-        record.kind = record_kind::leaseHandedOver;
-        record.worker = in.at(1);
-        record.leaseLeft = milliseconds(in.at(2).get<std::int64_t>());
-        record.term = in.at(3);
-        return record;
-    }
-    const auto name = parseTask(in.at(1).get<std::string>());
-    if (!name || (kind != "started" && kind != "ended" && kind != "moved"))
-        throw std::invalid_argument("malformed journal record: " + in.dump());
-    record.task = *name;
-    record.run = in.at(2);
-    if (kind != "ended") {
-        record.kind = kind == "moved" ? record_kind::moved : record_kind::started;
-        record.worker = in.at(3);
-        return record;
-    }
-    record.kind = record_kind::ended;
-    record.end = static_cast<run_end>(in.at(3).get<int>());
-    record.checkpoint = in.at(4);
-    // Earlier versions don't write this.
-    record.startUnconfirmed = in.size() > 5 && in.at(5).get<bool>();
-    return record;
-}
-
 } // namespace almond::jobs
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -70,6 +70,8 @@
     bool hasBegun = false;
     std::uint32_t waiting = 0;
     std::uint32_t assigned = 0;
+    //! Number of journal records that have changed it.
+    std::uint32_t records = 0;
 };
 
 //! What is assigned to one incarnation of a worker.
@@ -143,6 +145,8 @@
     std::set<std::pair<std::int64_t, job_id>> timers;
     //! By incarnation of the worker.
     std::map<std::string, handed_lease> handedLeases;
+    //! Jobs that have ended and were not taken over by ended_jobs yet.
+    std::vector<job_id> newlyEnded;
 };
 
 //! Adds an accepted job. Does nothing if a job with the same id is present.
@@ -151,6 +155,11 @@
 void openDueOccurrences(job_table &table, time_point unixNow);
 //! Marks the job \a id as cancelled. Returns false if it is unknown or has ended.
 bool cancelJob(job_table &table, const job_id &id);
+//! Removes the job \a id, which has ended and of which no run is assigned. Returns the number of journal
+//! records that had changed it.
+std::size_t removeJob(job_table &table, const job_id &id);
+//! Frees what only open jobs need of the job \a id, which has ended and of which no run is assigned.
+void releaseTasks(job_table &table, const job_id &id);
 //! Applies \a record. Returns false, without a change, if it does not match the current state.
 bool apply(job_table &table, const journal_record &record);
 
--- a/src/store/fenced_journal.cpp
+++ b/src/store/fenced_journal.cpp
@@ -57,19 +57,17 @@
     co_return result;
 }
 
-task<journal_entries> readJournalEntries(const store_api &store, std::string name, std::uint64_t after,
-                                         append_limits limits)
+task<store_status> visitJournal(const store_api &store, std::string name, std::uint64_t after,
+                                std::function<void(journal_entry entry)> visit, append_limits limits)
 {
-    journal_entries result;
     std::string last = entryKey(name, after);
     int failures = 0;
     bool more = true;
     while (more) {
         const page_reply page = co_await store.page(entryPrefix(name), last);
-        result.status = page.status;
         if (page.status != store_status::ok) {
             if (++failures >= limits.attempts)
-                co_return result;
+                co_return page.status;
             co_await kernel::sleepFor(limits.retryDelay);
             continue;
         }
@@ -78,14 +76,14 @@
             last = item.key;
             const std::optional<std::uint64_t> index = indexOfKey(item.key);
             if (index)
-                result.entries.push_back(decodeEntryOrEmpty(*index, item.value));
+                visit(decodeEntryOrEmpty(*index, item.value));
             else
                 observe::logLimited(observe::log_level::error, "odd key in a journal ignored",
                                     {{"key", item.key}}, kernel::monotonicNow());
         }
         more = page.more && !page.items.empty();
     }
-    co_return result;
+    co_return store_status::ok;
 }
 
 } // namespace almond::store
--- a/src/store/fenced_journal.h
+++ b/src/store/fenced_journal.h
@@ -2,6 +2,8 @@
 
 #include "store/journal.h"
 
+#include <functional>
+
 namespace almond::store {
 
 //! The condition for appending to a journal: the key of its owner still has the revision with which the
@@ -22,17 +24,12 @@
 //! Attempts to read one page of a journal.
 inline constexpr append_limits pageLimits{5, kernel::milliseconds(50)};
 
-//! The entries of a journal after some index. If the status is not ok, the entries that were read before the
-//! store stopped responding; reading can go on after the last of them.
-struct journal_entries
-{
-    store_status status = store_status::unavailable;
-    std::vector<journal_entry> entries;
-};
-
-//! Reads all entries of the journal \a name with an index greater than \a after, page by page. A page without
-//! a response is asked for again within \a limits. An entry that can't be decoded has no writer.
-kernel::task<journal_entries> readJournalEntries(const store_api &store, std::string name,
-                                                 std::uint64_t after, append_limits limits = pageLimits);
+//! Calls \a visit with each entry of the journal \a name with an index greater than \a after, page by page,
+//! and keeps none of them. A page without a response is asked for again within \a limits. If the status is
+//! not ok, reading can go on after the last entry that was visited. An entry that can't be decoded has no
+//! writer.
+kernel::task<store_status> visitJournal(const store_api &store, std::string name, std::uint64_t after,
+                                        std::function<void(journal_entry entry)> visit,
+                                        append_limits limits = pageLimits);
 
 } // namespace almond::store
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -63,6 +63,9 @@
         api.commit = [this](store::transaction change) {
             return hold([this, change] { return commitNow(change); });
         };
+        api.page = [this](std::string prefix, std::string after) {
+            return holdPage(std::move(prefix), std::move(after));
+        };
         api.grantLease = [this](kernel::milliseconds ttl) {
             return hold([this, ttl] {
                 return store::store_reply{store::store_status::ok,
@@ -95,6 +98,7 @@
     }
 
     standins::platform_state state;
+    std::size_t itemsPerPage = 500;
 
 private:
     store::store_reply commitNow(const store::transaction &change)
@@ -152,6 +156,27 @@
         co_return reply.value_or(store::range_reply());
     }
 
+    kernel::task<store::page_reply> holdPage(std::string prefix, std::string after)
+    {
+        auto done = std::make_shared<kernel::completion<store::page_reply>>(m_context.get_executor());
+        m_held.push_back({[this, done, prefix, after](call_completion completion) {
+            store::page_reply reply;
+            if (completion == call_completion::answer) {
+                reply.status = store::store_status::ok;
+                reply.revision = state.revision;
+                auto item = state.items.upper_bound(std::max(prefix, after));
+                for (; item != state.items.end() && item->first.starts_with(prefix)
+                     && reply.items.size() < itemsPerPage;
+                     ++item)
+                    reply.items.push_back({item->first, item->second.value, item->second.revision});
+                reply.more = item != state.items.end() && item->first.starts_with(prefix);
+            }
+            done->complete(std::move(reply));
+        }});
+        const auto reply = co_await done->wait(holdLimit);
+        co_return reply.value_or(store::page_reply());
+    }
+
     boost::asio::io_context &m_context;
     std::deque<held_call> m_held;
     std::deque<std::function<void()>> m_late;
--- a/tests/unit/history_in_parts_test.cpp
+++ b/tests/unit/history_in_parts_test.cpp
@@ -68,19 +68,27 @@
     return store;
 }
 
-//! readJournalEntries() must not start again at the first page after a lost response.
+//! visitJournal() must not start again at the first page after a lost response.
 TEST(HistoryInParts, JournalOfManyPagesIsReadFromAStoreThatLosesResponses)
 {
     lossy_store store = storeWithJournal();
     bool read = false;
+    std::vector<std::uint64_t> visited;
     boost::asio::io_context context;
-    tests::runToEnd(context, [](lossy_store *from, bool *done) -> kernel::task<void> {
-        for (int attempt = 0; attempt < 2 * pages && !*done; ++attempt) {
-            const store::journal_entries journal
-                = co_await store::readJournalEntries(from->api(), journalName, 0);
-            *done = journal.status == store::store_status::ok;
-        }
-    }(&store, &read));
+    tests::runToEnd(
+        context,
+        [](lossy_store *from, bool *done, std::vector<std::uint64_t> *indexes) -> kernel::task<void> {
+            for (int attempt = 0; attempt < 2 * pages && !*done; ++attempt) {
+                const std::uint64_t after = indexes->empty() ? 0 : indexes->back();
+                const store::store_status status = co_await store::visitJournal(
+                    from->api(), journalName, after,
+                    [indexes](const store::journal_entry &entry) { indexes->push_back(entry.index); });
+                *done = status == store::store_status::ok;
+            }
+        }(&store, &read, &visited));
+    ASSERT_EQ(visited.size(), pages * itemsPerPage);
+    for (std::size_t number = 0; number < visited.size(); ++number)
+        EXPECT_EQ(visited[number], number + 1);
     EXPECT_TRUE(read) << "after " << store.calls << " calls for " << pages << " pages";
 }
 
--- a/tests/unit/owner_fixture.h
+++ b/tests/unit/owner_fixture.h
@@ -27,6 +27,8 @@
     //! What the election tells the next owner of the time without one.
     kernel::time_point unattendedSince{};
     bool mayRenew = true;
+    //! Of the next owner.
+    fleet::owner_rules rules;
     fleet::owner_metrics *metrics = nullptr;
     //! Called whenever the owner checks whether it may renew leases; may block to simulate a pause.
     std::function<void()> onRenewalCheck;
@@ -51,6 +53,7 @@
         dependencies.store = ownersStore();
         dependencies.workers = ownersWorkers();
         dependencies.metrics = metrics;
+        dependencies.rules = rules;
         dependencies.clock = kernel::monotonicNow;
         dependencies.unixClock = kernel::systemNow;
         dependencies.config = [this] { return config; };
