--- a/src/fleet/job_owner_removal.cpp
+++ b/src/fleet/job_owner_removal.cpp
@@ -139,7 +139,7 @@
         = co_await store::compactJournal(m_dependencies.store, job_key::journal, m_journalIndex - 1, fence,
                                          filter, [this] { return !m_resigned; });
     m_journalSize.records -= std::min(m_journalSize.records, result.recordsRemoved);
-    // Also those that a former owner has skipped, which aren't counted one by one.
+    // A pass through the whole journal leaves no obsolete records.
     m_journalSize.obsolete = result.status == store_status::ok
         ? 0
         : m_journalSize.obsolete - std::min(m_journalSize.obsolete, result.recordsRemoved);
